--- /dev/null
+++ b/src/base/random.cc
@@ -0,0 +1,12 @@
+#include "base/random.h"
+
+#include <random>
+
+namespace elderkeel::base {
+
+uint64_t SystemSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32) ^ device();
+}
+
+}  // namespace elderkeel::base
--- /dev/null
+++ b/src/base/settings.cc
@@ -0,0 +1,316 @@
+#include "base/settings.h"
+
+#include <arpa/inet.h>
+#include <rapidjson/schema.h>
+#include <rapidjson/stringbuffer.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace elderkeel::base {
+namespace {
+
+enum class Kind { kText, kWhole, kNumber, kFlag, kAddress, kList };
+
+struct Field {
+  const char* name;
+  Kind kind;
+  double least;
+  double most;
+  bool needed;
+  std::function<void(Settings*, const rapidjson::Value&)> take;
+};
+
+Address TakeAddress(const rapidjson::Value& v) {
+  Result<Address> parsed = ParseAddress(v.GetString());
+  return parsed ? *parsed : Address{};
+}
+
+#define TEXT(name, member, needed) \
+  {name, Kind::kText, 0, 0, needed, [](Settings* s, const auto& v) { s->member = v.GetString(); }}
+#define WHOLE(name, member, least, most) \
+  {name, Kind::kWhole, least, most, false, [](Settings* s, const auto& v) { s->member = v.GetInt64(); }}
+#define NUMBER(name, member, least, most) \
+  {name, Kind::kNumber, least, most, false, [](Settings* s, const auto& v) { s->member = v.GetDouble(); }}
+#define FLAG(name, member) \
+  {name, Kind::kFlag, 0, 0, false, [](Settings* s, const auto& v) { s->member = v.GetBool(); }}
+#define ADDRESS(name, member) \
+  {name, Kind::kAddress, 0, 0, false, [](Settings* s, const auto& v) { s->member = TakeAddress(v); }}
+
+const std::vector<Field>& Fields() {
+  static const std::vector<Field> fields = {
+      TEXT("node-name", node_name, true),
+      TEXT("role", role, false),
+      TEXT("ip", ip, true),
+      TEXT("zone", zone, true),
+      TEXT("data-dir", data_dir, false),
+      ADDRESS("listeners.front", front),
+      ADDRESS("listeners.readiness", readiness),
+      ADDRESS("listeners.control", control),
+      ADDRESS("platform.address", platform),
+      FLAG("bootstrap", bootstrap),
+      WHOLE("limits.memory-mb", memory_mb, 16, 1 << 20),
+      WHOLE("limits.max-fds", max_fds, 64, 1 << 22),
+      NUMBER("platform.rate-per-s", platform_rate_per_s, 0.1, 1e6),
+      WHOLE("platform.max-lag-ms", platform_lag_ms, 0, 600000),
+      WHOLE("bounds.contact-ms", contact_ms, 1, 600000),
+      WHOLE("bounds.ack-ms", ack_ms, 1, 600000),
+      WHOLE("bounds.drain-ms", drain_ms, 1, 600000),
+      NUMBER("bounds.grace-s", grace_s, 0.1, 600),
+      WHOLE("bounds.apply-ms", apply_ms, 1, 600000),
+      NUMBER("bounds.retry-ratio", retry_ratio, 0, 10),
+      NUMBER("bounds.retry-window-s", retry_window_s, 0.1, 3600),
+      NUMBER("bounds.retry-slack", retry_slack, 0, 1e6),
+      TEXT("elderkeel.log-level", log_level, false),
+      WHOLE("elderkeel.poll-ms", poll_ms, 50, 60000),
+      WHOLE("elderkeel.stale-catalog-ms", stale_catalog_ms, 500, 600000),
+      WHOLE("elderkeel.heartbeat-ms", heartbeat_ms, 20, 10000),
+      WHOLE("elderkeel.digest-ms", digest_ms, 20, 10000),
+      WHOLE("elderkeel.raft-heartbeat-ms", raft_heartbeat_ms, 10, 10000),
+      WHOLE("elderkeel.election-ms", election_ms, 50, 60000),
+      WHOLE("elderkeel.connect-ms", connect_ms, 10, 60000),
+      WHOLE("elderkeel.held-body-bytes", held_body_bytes, 1024, 1 << 28),
+      WHOLE("elderkeel.wait-share-percent", wait_share_percent, 0, 100),
+      FLAG("elderkeel.second-sends", second_sends),
+      TEXT("elderkeel.telemetry-sink", telemetry_sink, false),
+      TEXT("elderkeel.telemetry-file", telemetry_file, false),
+      WHOLE("elderkeel.telemetry-flush-ms", telemetry_flush_ms, 10, 60000),
+      {"port-range", Kind::kList, 0, 0, true,
+       [](Settings* s, const auto& v) {
+         s->port_first = static_cast<uint16_t>(std::atoi(v[0].GetString()));
+         s->port_last = static_cast<uint16_t>(std::atoi(v[v.Size() - 1].GetString()));
+       }},
+      {"seed-list", Kind::kList, 0, 0, false,
+       [](Settings* s, const auto& v) {
+         for (const auto& item : v.GetArray()) {
+           Result<Address> parsed = ParseAddress(item.GetString());
+           if (parsed) s->seeds.push_back(*parsed);
+         }
+       }},
+  };
+  return fields;
+}
+
+rapidjson::Document BuildSchema() {
+  rapidjson::Document schema(rapidjson::kObjectType);
+  auto& a = schema.GetAllocator();
+  rapidjson::Value properties(rapidjson::kObjectType);
+  rapidjson::Value required(rapidjson::kArrayType);
+  for (const Field& field : Fields()) {
+    rapidjson::Value rule(rapidjson::kObjectType);
+    switch (field.kind) {
+      case Kind::kText:
+        rule.AddMember("type", "string", a);
+        if (field.needed) rule.AddMember("minLength", 1, a);
+        break;
+      case Kind::kAddress:
+        rule.AddMember("type", "string", a);
+        rule.AddMember("pattern", "^[0-9]+\\.[0-9]+\\.[0-9]+\\.[0-9]+:[0-9]+$", a);
+        break;
+      case Kind::kWhole:
+        rule.AddMember("type", "integer", a);
+        rule.AddMember("minimum", static_cast<int64_t>(field.least), a);
+        rule.AddMember("maximum", static_cast<int64_t>(field.most), a);
+        break;
+      case Kind::kNumber:
+        rule.AddMember("type", "number", a);
+        rule.AddMember("minimum", field.least, a);
+        rule.AddMember("maximum", field.most, a);
+        break;
+      case Kind::kFlag:
+        rule.AddMember("type", "boolean", a);
+        break;
+      case Kind::kList:
+        rule.AddMember("type", "array", a);
+        break;
+    }
+    properties.AddMember(rapidjson::Value(field.name, a), rule, a);
+    if (field.needed) required.PushBack(rapidjson::Value(field.name, a), a);
+  }
+  schema.AddMember("type", "object", a);
+  schema.AddMember("properties", properties, a);
+  schema.AddMember("required", required, a);
+  return schema;
+}
+
+std::string Trim(const std::string& text) {
+  size_t first = text.find_first_not_of(" \t\r");
+  if (first == std::string::npos) return "";
+  return text.substr(first, text.find_last_not_of(" \t\r") - first + 1);
+}
+
+std::vector<std::string> Split(const std::string& text, char by) {
+  std::vector<std::string> parts;
+  std::stringstream stream(text);
+  std::string part;
+  while (std::getline(stream, part, by)) {
+    part = Trim(part);
+    if (!part.empty()) parts.push_back(part);
+  }
+  return parts;
+}
+
+// A value becomes the type its field asks for when it reads as one; otherwise it stays a string and
+// the schema says so.
+rapidjson::Value ToJson(const Field& field, const std::string& text,
+                        rapidjson::Document::AllocatorType& a) {
+  char* end = nullptr;
+  switch (field.kind) {
+    case Kind::kWhole: {
+      long long n = std::strtoll(text.c_str(), &end, 10);
+      if (!text.empty() && *end == '\0') return rapidjson::Value(static_cast<int64_t>(n));
+      double d = std::strtod(text.c_str(), &end);
+      if (!text.empty() && *end == '\0' && d == static_cast<double>(static_cast<int64_t>(d))) {
+        return rapidjson::Value(static_cast<int64_t>(d));
+      }
+      break;
+    }
+    case Kind::kNumber: {
+      double n = std::strtod(text.c_str(), &end);
+      if (!text.empty() && *end == '\0') return rapidjson::Value(n);
+      break;
+    }
+    case Kind::kFlag:
+      if (text == "true" || text == "false") return rapidjson::Value(text == "true");
+      break;
+    case Kind::kList: {
+      rapidjson::Value list(rapidjson::kArrayType);
+      for (const std::string& part : Split(text, ',')) {
+        list.PushBack(rapidjson::Value(part.c_str(), a), a);
+      }
+      return list;
+    }
+    default:
+      break;
+  }
+  return rapidjson::Value(text.c_str(), a);
+}
+
+Error Bad(const std::string& reason) { return Error{"settings", "", reason}; }
+
+}  // namespace
+
+Result<Address> ParseAddress(const std::string& text) {
+  size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return Error{"address", text, "has no port"};
+  Address address{text.substr(0, colon), 0};
+  in_addr parsed;
+  if (inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1) {
+    return Error{"address", text, "is not an IPv4 address"};
+  }
+  char* end = nullptr;
+  long port = std::strtol(text.c_str() + colon + 1, &end, 10);
+  if (end == text.c_str() + colon + 1 || *end != '\0' || port < 1 || port > 65535) {
+    return Error{"address", text, "has no port from 1 to 65535"};
+  }
+  address.port = static_cast<uint16_t>(port);
+  return address;
+}
+
+std::map<std::string, std::string> ParseLines(const std::string& text) {
+  std::map<std::string, std::string> lines;
+  std::stringstream stream(text);
+  std::string line;
+  while (std::getline(stream, line)) {
+    line = Trim(line);
+    size_t equals = line.find('=');
+    if (line.empty() || line[0] == '#' || equals == std::string::npos) continue;
+    lines[Trim(line.substr(0, equals))] = Trim(line.substr(equals + 1));
+  }
+  return lines;
+}
+
+std::string SchemaFault(const rapidjson::Document& schema, const rapidjson::Value& document) {
+  rapidjson::SchemaDocument compiled(schema);
+  rapidjson::SchemaValidator validator(compiled);
+  if (document.Accept(validator)) return "";
+  rapidjson::StringBuffer where;
+  validator.GetInvalidDocumentPointer().StringifyUriFragment(where);
+  std::string path = where.GetString();
+  std::string field = path.size() > 2 ? path.substr(2) : "document";
+  std::string rule =
+      validator.GetInvalidSchemaKeyword() ? validator.GetInvalidSchemaKeyword() : "unknown";
+  if (rule == "required") {
+    // The release of RapidJSON in use names the rule only; which field is missing is found here.
+    const rapidjson::Value* object = validator.GetInvalidDocumentPointer().Get(document);
+    const rapidjson::Value* rules = validator.GetInvalidSchemaPointer().Get(schema);
+    if (object && object->IsObject() && rules && rules->IsObject() && rules->HasMember("required")) {
+      for (const auto& name : (*rules)["required"].GetArray()) {
+        if (!object->HasMember(name)) {
+          return (path.size() > 2 ? field + "/" : "") + name.GetString() + ": is missing";
+        }
+      }
+    }
+    return field + ": lacks a needed field";
+  }
+  if (rule == "type") return field + ": has the wrong type";
+  if (rule == "minimum" || rule == "exclusiveMinimum") return field + ": is too small";
+  if (rule == "maximum") return field + ": is too large";
+  if (rule == "pattern") return field + ": has the wrong form";
+  return field + ": breaks the rule '" + rule + "'";
+}
+
+Result<Settings> ParseSettings(const std::string& text) {
+  static const rapidjson::Document schema = BuildSchema();
+  std::map<std::string, std::string> lines = ParseLines(text);
+  rapidjson::Document document(rapidjson::kObjectType);
+  for (const Field& field : Fields()) {
+    auto at = lines.find(field.name);
+    // An empty value of a field that may be left out counts as left out.
+    if (at == lines.end() || (at->second.empty() && !field.needed)) continue;
+    document.AddMember(rapidjson::StringRef(field.name),
+                       ToJson(field, at->second, document.GetAllocator()),
+                       document.GetAllocator());
+  }
+  std::string fault = SchemaFault(schema, document);
+  if (!fault.empty()) return Bad(fault);
+
+  Settings settings;
+  for (const Field& field : Fields()) {
+    if (!document.HasMember(field.name)) continue;
+    const rapidjson::Value& value = document[field.name];
+    if (field.kind == Kind::kAddress && !ParseAddress(value.GetString())) {
+      return Bad(std::string(field.name) + ": is not an address and port");
+    }
+    if (std::string(field.name) == "port-range" && value.Size() != 2) {
+      return Bad("port-range: needs a first and a last port");
+    }
+    field.take(&settings, value);
+  }
+  for (const auto& [name, value] : lines) {
+    if (name.rfind("zones.", 0) == 0) settings.zones.push_back(name.substr(6));
+  }
+  if (lines.count("seed-list") && settings.seeds.size() != Split(lines["seed-list"], ',').size()) {
+    return Bad("seed-list: holds something that is not an address and port");
+  }
+  in_addr parsed;
+  if (inet_pton(AF_INET, settings.ip.c_str(), &parsed) != 1) {
+    return Bad("ip: is not an IPv4 address");
+  }
+  if (settings.port_first == 0 || settings.port_last < settings.port_first + 1) {
+    return Bad("port-range: needs at least two ports");
+  }
+  return settings;
+}
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return Error{"read", path, "cannot be opened"};
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+Result<Settings> LoadSettings(const std::string& path) {
+  Result<std::string> text = ReadFile(path);
+  if (!text) return text.error();
+  return ParseSettings(*text);
+}
+
+std::string SettingsPath() {
+  const char* path = std::getenv("ELDERKEEL_SETTINGS");
+  return path && *path ? path : "/etc/elderkeel/settings.conf";
+}
+
+}  // namespace elderkeel::base
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <rapidjson/document.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+
+namespace elderkeel::base {
+
+struct Address {
+  std::string ip;
+  uint16_t port = 0;
+
+  std::string ToString() const { return ip + ":" + std::to_string(port); }
+  bool operator==(const Address& other) const { return ip == other.ip && port == other.port; }
+  bool operator!=(const Address& other) const { return !(*this == other); }
+  bool operator<(const Address& other) const {
+    return ip != other.ip ? ip < other.ip : port < other.port;
+  }
+};
+
+// Reads `a.b.c.d:port`; nothing else, since names are not looked up.
+Result<Address> ParseAddress(const std::string& text);
+
+// The settings of one process, read from lines of the form a.b=value and checked by a schema.
+// Fields that are not known are ignored. docs/settings.md lists them all.
+struct Settings {
+  std::string node_name;
+  std::string role;
+  std::string ip;
+  std::string zone;
+  std::string data_dir;
+  std::vector<std::string> zones;
+  std::vector<Address> seeds;
+  Address front, readiness, control;
+  uint16_t port_first = 0, port_last = 0;
+  bool bootstrap = false;
+  int64_t memory_mb = 256;
+  int64_t max_fds = 1024;
+
+  Address platform;
+  double platform_rate_per_s = 10;
+  int64_t platform_lag_ms = 1000;
+
+  int64_t contact_ms = 4000;
+  int64_t ack_ms = 5000;
+  int64_t drain_ms = 3000;
+  int64_t grace_s = 6;
+  int64_t apply_ms = 3000;
+  double retry_ratio = 0.1;
+  double retry_window_s = 10;
+  double retry_slack = 10;
+
+  // Ours, with defaults that suit a fleet of tens of nodes in one region.
+  std::string log_level = "info";
+  int64_t poll_ms = 750;              // how often the duty holder asks the platform
+  int64_t stale_catalog_ms = 6000;    // with no word on the catalog for so long, a node asks itself
+  int64_t heartbeat_ms = 250;         // ring heartbeats
+  int64_t digest_ms = 400;            // digest exchange with a random peer
+  int64_t raft_heartbeat_ms = 120;
+  int64_t election_ms = 600;          // an election starts after one to two times this silence
+  int64_t connect_ms = 250;           // time for a connection to a server to come up
+  int64_t held_body_bytes = 1 << 20;  // answers up to this size are held whole
+  int64_t wait_share_percent = 25;    // of a route's aim: the longest wait for a server's slot
+  bool second_sends = true;           // a second send of a slow repeatable request, under budget
+  std::string telemetry_sink = "stdout";
+  std::string telemetry_file;
+  int64_t telemetry_flush_ms = 500;
+
+  uint16_t ControllerPort() const { return port_first; }
+  uint16_t ProxyPort() const { return static_cast<uint16_t>(port_first + 1); }
+};
+
+// Parses and checks; the error names the field in `peer` position-free form: reason "field: why".
+Result<Settings> ParseSettings(const std::string& text);
+Result<Settings> LoadSettings(const std::string& path);
+// The file that ELDERKEEL_SETTINGS names, or the usual place.
+std::string SettingsPath();
+
+// What a settings line holds, before checks: for `check` and for tests.
+std::map<std::string, std::string> ParseLines(const std::string& text);
+
+// The first field that breaks `schema` in `document`, as "field: why"; empty when it holds.
+std::string SchemaFault(const rapidjson::Document& schema, const rapidjson::Value& document);
+
+Result<std::string> ReadFile(const std::string& path);
+
+}  // namespace elderkeel::base
--- /dev/null
+++ b/src/budget/budget.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace elderkeel::budget {
+
+// This node's part of the budget for further sends that all nodes share. Over any window, all nodes
+// together may send `ratio` x requests + `slack` arrivals past the first of each request.
+//
+// Each node earns `share` x ratio for each request it takes and may save up to its part of the
+// slack. What a node spends in a window is then at most what it earned in that window plus what it
+// had saved, and the savings of all nodes together stay below the slack. A node that just started
+// has saved nothing: its former life may have spent its part.
+class Budget {
+ public:
+  struct Bounds {
+    double ratio = 0.1;
+    double slack = 10;
+    double share = 0.75;  // of the ratio: some requests are counted in another window than earned
+  };
+
+  explicit Budget(Bounds bounds) : bounds_(bounds) {}
+
+  // `nodes`: how many may exist, at least those in sight.
+  void SetNodes(size_t nodes) {
+    cap_ = bounds_.slack * 0.8 / static_cast<double>(std::max<size_t>(1, nodes));
+    for (double& saved : saved_) saved = std::min(saved, cap_);
+  }
+  void Earn(uint32_t service) {
+    double& saved = At(service);
+    saved = std::min(cap_, saved + bounds_.ratio * bounds_.share);
+  }
+  // `reserve` leaves so much for sends that matter more than this one.
+  bool Spend(uint32_t service, double reserve = 0) {
+    double& saved = At(service);
+    if (saved < 1 + reserve) return false;
+    saved -= 1;
+    return true;
+  }
+  double saved(uint32_t service) { return At(service); }
+  double cap() const { return cap_; }
+
+ private:
+  double& At(uint32_t service) {
+    if (service >= saved_.size()) saved_.resize(service + 1, 0);
+    return saved_[service];
+  }
+
+  Bounds bounds_;
+  double cap_ = 1;
+  std::vector<double> saved_;
+};
+
+}  // namespace elderkeel::budget
--- /dev/null
+++ b/src/catalog/catalog.cc
@@ -0,0 +1,132 @@
+#include "catalog/catalog.h"
+
+#include <rapidjson/document.h>
+
+#include <algorithm>
+
+#include "base/settings.h"
+
+namespace elderkeel::catalog {
+namespace {
+
+constexpr int kMaxPages = 1000;
+
+const rapidjson::Document& Schema() {
+  static const rapidjson::Document schema = [] {
+    rapidjson::Document d;
+    d.Parse(R"({
+      "type": "object",
+      "required": ["servers"],
+      "properties": {
+        "servers": {"type": "array", "items": {
+          "type": "object",
+          "required": ["id", "target", "address", "status"],
+          "properties": {
+            "id": {"type": "string", "minLength": 1},
+            "target": {"type": "string", "minLength": 1},
+            "address": {"type": "string"},
+            "zone": {"type": "string"},
+            "revision": {"type": "string"},
+            "capacity": {"type": "number", "minimum": 0},
+            "status": {"type": "string"},
+            "warmup-left-ms": {"type": "number"}
+          }}}
+      }})");
+    return d;
+  }();
+  return schema;
+}
+
+std::string Escape(const std::string& text) {
+  static const char* kHex = "0123456789ABCDEF";
+  std::string out;
+  for (unsigned char c : text) {
+    if (std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '~') {
+      out.push_back(static_cast<char>(c));
+    } else {
+      out.push_back('%');
+      out.push_back(kHex[c >> 4]);
+      out.push_back(kHex[c & 15]);
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+base::Result<Page> ParsePage(std::string_view text) {
+  rapidjson::Document d;
+  d.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (d.HasParseError() || !d.IsObject()) return base::Error{"catalog", "", "page is not JSON"};
+  std::string fault = base::SchemaFault(Schema(), d);
+  if (!fault.empty()) return base::Error{"catalog", "", fault};
+  Page page;
+  for (const auto& s : d["servers"].GetArray()) {
+    Server server;
+    auto text_of = [&](const char* name) {
+      return s.HasMember(name) ? std::string(s[name].GetString()) : std::string();
+    };
+    auto number_of = [&](const char* name, int otherwise) {
+      return s.HasMember(name) ? static_cast<int32_t>(s[name].GetDouble()) : otherwise;
+    };
+    server.id = text_of("id");
+    server.service = text_of("target");
+    server.address = text_of("address");
+    server.zone = text_of("zone");
+    server.revision = text_of("revision");
+    server.capacity = std::max(1, number_of("capacity", 1));
+    server.draining = text_of("status") != "accepting";
+    server.warmup_left_ms = number_of("warmup-left-ms", 0);
+    if (!base::ParseAddress(server.address)) {
+      return base::Error{"catalog", server.id, "address can't be read"};
+    }
+    page.servers.push_back(std::move(server));
+  }
+  auto next = d.FindMember("next-token");
+  if (next != d.MemberEnd() && next->value.IsString()) page.next = next->value.GetString();
+  return page;
+}
+
+bool SameServers(const std::vector<Server>& a, const std::vector<Server>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const Server& x, const Server& y) { return x.Same(y); });
+}
+
+std::string Reading::Start() {
+  active_ = true;
+  pages_ = 0;
+  servers_.clear();
+  return "/servers";
+}
+
+base::Result<std::string> Reading::Take(int status, std::string_view body) {
+  if (status != 200) {
+    active_ = false;
+    return base::Error{"catalog", "platform", "status " + std::to_string(status)};
+  }
+  auto page = ParsePage(body);
+  if (!page) {
+    active_ = false;
+    return page.error();
+  }
+  servers_.insert(servers_.end(), page->servers.begin(), page->servers.end());
+  if (page->next.empty()) return std::string();
+  if (++pages_ > kMaxPages) {
+    active_ = false;
+    return base::Error{"catalog", "platform", "pages without end"};
+  }
+  return "/servers?page-token=" + Escape(page->next);
+}
+
+std::vector<Server> Reading::Finish() {
+  active_ = false;
+  std::sort(servers_.begin(), servers_.end(),
+            [](const Server& a, const Server& b) { return a.id < b.id; });
+  // A server may move to a later page while the list is read; the last word counts.
+  servers_.erase(std::unique(servers_.begin(), servers_.end(),
+                             [](const Server& a, const Server& b) { return a.id == b.id; }),
+                 servers_.end());
+  return std::move(servers_);
+}
+
+}  // namespace elderkeel::catalog
--- /dev/null
+++ b/src/catalog/catalog.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+
+namespace elderkeel::catalog {
+
+// A server as the platform's list shows it.
+struct Server {
+  std::string id;
+  std::string service;
+  std::string address;
+  std::string zone;
+  std::string revision;
+  int32_t capacity = 1;
+  bool draining = false;
+  int32_t warmup_left_ms = 0;
+
+  // The same but for the warm-up, which counts down at every reading.
+  bool Same(const Server& o) const {
+    return id == o.id && service == o.service && address == o.address && zone == o.zone &&
+           capacity == o.capacity && draining == o.draining;
+  }
+  template <class A>
+  void serialize(A& a) {
+    a(id, service, address, zone, revision, capacity, draining, warmup_left_ms);
+  }
+};
+
+// The list as one holder of the duty read it. `epoch` rises with each holder, `sequence` with each
+// change that a holder sees.
+struct Catalog {
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;
+  std::vector<Server> servers;
+
+  bool NewerThan(uint64_t e, uint64_t s) const {
+    return epoch != e ? epoch > e : sequence > s;
+  }
+  template <class A>
+  void serialize(A& a) {
+    a(epoch, sequence, servers);
+  }
+};
+
+struct Page {
+  std::vector<Server> servers;
+  std::string next;  // empty on the last page
+};
+// A page of the platform's list; an error for anything that is not whole and of the right types.
+base::Result<Page> ParsePage(std::string_view text);
+
+// Whether two readings show the same servers.
+bool SameServers(const std::vector<Server>& a, const std::vector<Server>& b);
+
+// Reads the list page by page. Pure: the caller does the calls. A list that could not be read whole
+// is no list.
+class Reading {
+ public:
+  // The target of the first call, or of the next; empty when the reading is complete.
+  std::string Start();
+  base::Result<std::string> Take(int status, std::string_view body);
+  std::vector<Server> Finish();
+  bool active() const { return active_; }
+  void Abort() { active_ = false; }
+
+ private:
+  bool active_ = false;
+  int pages_ = 0;
+  std::vector<Server> servers_;
+};
+
+}  // namespace elderkeel::catalog
--- /dev/null
+++ b/src/catalog/platform.cc
@@ -0,0 +1,58 @@
+#include "catalog/platform.h"
+
+namespace elderkeel::catalog {
+namespace {
+constexpr base::Millis kTimeoutMs = 1000;
+}
+
+void Platform::Read(Done done) {
+  if (reading_.active()) return;
+  done_ = std::move(done);
+  Call(reading_.Start());
+}
+
+void Platform::Call(const std::string& target) {
+  ++calls_;
+  if (!connection_ || !connection_->Usable()) {
+    wire::Limits limits;
+    limits.header_bytes = 64 << 10;
+    limits.body_bytes = 16 << 20;
+    connection_ = std::make_unique<wire::HttpConnection>(loop_, address_, kTimeoutMs, limits);
+  }
+  auto fail = [this](base::Error error) {
+    timer_.Cancel();
+    reading_.Abort();
+    if (connection_) {
+      std::shared_ptr<wire::HttpConnection> last(std::move(connection_));
+      loop_->Defer([last] {});
+    }
+    Done done = std::move(done_);
+    done(std::move(error));
+  };
+  timer_.Start(loop_, kTimeoutMs, [fail, this] {
+    fail(base::Error{"catalog.read", address_.ToString(), "timed out"});
+  });
+  connection_->Send(
+      "GET " + target + " HTTP/1.1\r\nHost: " + address_.ToString() + "\r\n\r\n", false,
+      [this, fail](wire::HttpConnection::Outcome&& outcome) {
+        timer_.Cancel();
+        if (outcome.ending != wire::HttpConnection::Ending::kAnswer) {
+          fail(base::Error{"catalog.read", address_.ToString(), outcome.reason});
+          return;
+        }
+        auto next = reading_.Take(outcome.answer.status, outcome.answer.body);
+        if (!next) {
+          fail(next.error());
+          return;
+        }
+        if (next->empty()) {
+          Done done = std::move(done_);
+          done(reading_.Finish());
+          return;
+        }
+        // Not from inside the connection's own callback.
+        loop_->Defer([this, target = *next] { Call(target); });
+      });
+}
+
+}  // namespace elderkeel::catalog
--- /dev/null
+++ b/src/configuration/document.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/error.h"
+#include "base/names.h"
+#include "wire/http.h"
+
+namespace elderkeel::configuration {
+
+// Why a configuration is refused, and with which status.
+struct Refusal {
+  int status = 400;
+  std::string reason;
+};
+
+// Checks that `text` can be read whole and is a JSON object; empty reason when it is.
+Refusal CheckReadable(std::string_view text);
+// The revision that a readable document names; 0 if it names none.
+int64_t RevisionOf(std::string_view text);
+// Checks everything but how it stands to the current one; empty reason when it is valid.
+Refusal CheckValid(std::string_view text);
+// The document that a PATCH makes of `base`; both must be readable.
+struct Patched {
+  std::string text;
+  Refusal refusal;
+};
+Patched ApplyPatch(std::string_view base, std::string_view patch);
+
+struct Target {
+  uint32_t service;  // dense index
+  uint32_t weight;
+};
+
+struct Route {
+  std::string label;
+  std::string host;
+  std::string prefix;
+  bool idempotent = false;
+  int64_t timeout_ms = 0;
+  int64_t aim_ms = 0;
+  int priority = 0;
+  int max_attempts = 1;
+  std::vector<Target> targets;
+  uint64_t weight_sum = 0;
+};
+
+struct Service {
+  std::string label;
+  std::string health_path;
+  int max_conns = 0;
+};
+
+// A configuration made ready for routing. Never changed once built; requests hold on to the one that
+// was in force when their head was read.
+class Table {
+ public:
+  int64_t revision() const { return revision_; }
+  const wire::Limits& limits() const { return limits_; }
+  const std::vector<Route>& routes() const { return routes_; }
+  // Indexed by the dense index of the service; null where this version does not know it.
+  const Service* service(uint32_t index) const {
+    return index < services_.size() && known_[index] ? &services_[index] : nullptr;
+  }
+  // The route of `host` with the longest prefix that begins `path`.
+  const Route* Match(std::string_view host, std::string_view path) const;
+  // The service for a request, by weight; `key` decides, so that it can be computed anew.
+  uint32_t Pick(const Route& route, uint64_t key) const;
+
+  // From a valid document; names are mapped through `names`, which outlives all tables.
+  static std::shared_ptr<const Table> Build(std::string_view text, base::Names* names);
+
+ private:
+  int64_t revision_ = 0;
+  wire::Limits limits_;
+  std::vector<Route> routes_;
+  std::vector<Service> services_;
+  std::vector<bool> known_;
+  std::unordered_map<std::string, std::unordered_map<std::string, uint32_t>> hosts_;
+};
+
+}  // namespace elderkeel::configuration
--- /dev/null
+++ b/src/configuration/operator_api.cc
@@ -0,0 +1,175 @@
+#include "configuration/operator_api.h"
+
+#include <vector>
+
+namespace elderkeel::configuration {
+namespace {
+constexpr size_t kMaxJobs = 128;
+
+// A number as If-Match carries it, with or without quotes; -1 when it is none.
+int64_t MatchOf(const std::string* header) {
+  if (!header) return -1;
+  std::string_view text = *header;
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
+    text = text.substr(1, text.size() - 2);
+  }
+  return wire::ParseDecimal(text);
+}
+
+}  // namespace
+
+void OperatorApi::Reply(uint64_t ticket, int status, const std::string& reason) {
+  wire::Message answer = wire::OwnAnswer(status, reason);
+  if (status == 200) {
+    answer.body = "{\"revision\":" + std::to_string(state_->revision()) + "}";
+  }
+  if (status == 503) answer.headers.push_back({"Retry-After", "0.3"});
+  if (status == 405) answer.headers.push_back({"Allow", "GET, PUT, PATCH"});
+  answer_(ticket, answer);
+}
+
+void OperatorApi::Elsewhere(uint64_t ticket, const std::string& target) {
+  auto leader = log_->leader_control();
+  if (!leader || leader->empty()) {
+    Reply(ticket, 503, "no leader is known");
+    return;
+  }
+  wire::Message answer = wire::OwnAnswer(307, "the leader is elsewhere");
+  answer.headers.push_back({"Location", "http://" + *leader + target});
+  answer_(ticket, answer);
+}
+
+void OperatorApi::OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request) {
+  Job job;
+  job.ticket = ticket;
+  job.get = request.method == "GET";
+  job.change.patch = request.method == "PATCH";
+  if (!job.get && !job.change.patch && request.method != "PUT") {
+    Reply(ticket, 405, "GET, PUT or PATCH");
+    return;
+  }
+  if (!log_->leading()) {
+    Elsewhere(ticket, request.target);
+    return;
+  }
+  if (!job.get) {
+    job.change.if_match = MatchOf(request.Find("If-Match"));
+    if (job.change.if_match < 0) {
+      Reply(ticket, 400, "If-Match: is missing or no number");
+      return;
+    }
+    job.change.body = request.body;
+  }
+  if (jobs_.size() >= kMaxJobs) {
+    Reply(ticket, 503, "too many calls at once");
+    return;
+  }
+  job.deadline = now + patience_;
+  uint64_t token = next_token_++;
+  jobs_[token] = std::move(job);
+  // A leader that has not yet committed an entry of its own term asks again at the next tick.
+  if (log_->settled()) log_->Read(token);
+}
+
+void OperatorApi::ReadDone(base::Millis now, uint64_t token, bool confirmed) {
+  auto at = jobs_.find(token);
+  if (at == jobs_.end()) return;
+  if (!confirmed) {
+    uint64_t ticket = at->second.ticket;
+    jobs_.erase(at);
+    Reply(ticket, 503, "leadership was lost");
+    return;
+  }
+  at->second.confirmed = true;
+  Serve(now);
+}
+
+void OperatorApi::Serve(base::Millis) {
+  for (auto at = jobs_.begin(); at != jobs_.end();) {
+    uint64_t token = at->first;
+    Job& job = at->second;
+    if (!job.confirmed || (in_flight_ && in_flight_->token == token)) {
+      ++at;
+      continue;
+    }
+    if (job.get) {
+      if (state_->empty()) {
+        Reply(job.ticket, 404, "no configuration yet");
+      } else {
+        wire::Message answer;
+        answer.status = 200;
+        answer.headers.push_back({"Content-Type", "application/json"});
+        answer.headers.push_back({"ETag", "\"" + std::to_string(state_->revision()) + "\""});
+        answer.body = state_->text();
+        answer_(job.ticket, answer);
+      }
+      at = jobs_.erase(at);
+      continue;
+    }
+    if (in_flight_) {
+      ++at;  // one change at a time: its verdict would rest on an entry that is not committed
+      continue;
+    }
+    Register::Verdict verdict = state_->Judge(job.change);
+    if (verdict.status != 0) {
+      Reply(job.ticket, verdict.status, verdict.reason);
+      at = jobs_.erase(at);
+      continue;
+    }
+    auto index = log_->Propose(job.change);
+    if (!index) {
+      Reply(job.ticket, 503, "the log takes nothing now");
+      at = jobs_.erase(at);
+      continue;
+    }
+    in_flight_ = InFlight{*index, token};
+    ++at;
+  }
+}
+
+void OperatorApi::Applied(base::Millis now, uint64_t index) {
+  if (!in_flight_ || index < in_flight_->index) return;
+  uint64_t token = in_flight_->token;
+  bool ours = index == in_flight_->index;
+  in_flight_.reset();
+  auto at = jobs_.find(token);
+  if (at != jobs_.end()) {
+    Register::Verdict verdict = state_->Judge(at->second.change);
+    uint64_t ticket = at->second.ticket;
+    jobs_.erase(at);
+    Reply(ticket, ours && verdict.status != 0 ? verdict.status : 503,
+          verdict.reason.empty() ? "the change was overtaken" : verdict.reason);
+  }
+  Serve(now);
+}
+
+void OperatorApi::RoleChanged(base::Millis) {
+  if (log_->leading()) return;
+  in_flight_.reset();
+  std::map<uint64_t, Job> jobs;
+  jobs.swap(jobs_);
+  // What was proposed may still be committed by another leader: no clear answer can be given.
+  for (auto& [token, job] : jobs) Reply(job.ticket, 503, "leadership was lost");
+}
+
+void OperatorApi::Tick(base::Millis now) {
+  std::vector<uint64_t> late;
+  for (auto& [token, job] : jobs_) {
+    if (now >= job.deadline) late.push_back(token);
+  }
+  for (uint64_t token : late) {
+    uint64_t ticket = jobs_[token].ticket;
+    jobs_.erase(token);
+    Reply(ticket, 503, "no majority in time");
+  }
+  if (!log_->settled()) return;
+  std::vector<uint64_t> unread;
+  for (auto& [token, job] : jobs_) {
+    if (!job.confirmed) unread.push_back(token);
+  }
+  for (uint64_t token : unread) {
+    if (jobs_.count(token)) log_->Read(token);
+  }
+}
+
+}  // namespace elderkeel::configuration
--- /dev/null
+++ b/src/configuration/operator_api.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "configuration/register.h"
+#include "wire/http.h"
+
+namespace elderkeel::configuration {
+
+// What the operator's interface needs of the log.
+class Log {
+ public:
+  virtual ~Log() = default;
+  // Leads, and has committed an entry of its own term.
+  virtual bool settled() const = 0;
+  virtual bool leading() const = 0;
+  // Where the operator reaches the leader, if another leads.
+  virtual std::optional<std::string> leader_control() const = 0;
+  // Confirms with a majority that this still leads; ReadDone(token) follows.
+  virtual bool Read(uint64_t token) = 0;
+  // The index of the entry; Applied(index) follows if it is committed.
+  virtual std::optional<uint64_t> Propose(const Change& change) = 0;
+};
+
+// The operator's interface. Changes are taken one at a time: a verdict never rests on an entry that
+// is not committed, and every verdict is confirmed with a majority first. Each call is answered
+// within `patience`, by a 503 if need be, since callers then try elsewhere.
+class OperatorApi {
+ public:
+  using Answer = std::function<void(uint64_t ticket, const wire::Message&)>;
+
+  OperatorApi(Log* log, const Register* state, Answer answer, base::Millis patience = 850)
+      : log_(log), state_(state), answer_(std::move(answer)), patience_(patience) {}
+
+  static bool Owns(std::string_view path) { return path == "/elderkeel/config"; }
+
+  void OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request);
+  void ReadDone(base::Millis now, uint64_t token, bool confirmed);
+  // An entry was applied to the register.
+  void Applied(base::Millis now, uint64_t index);
+  void RoleChanged(base::Millis now);
+  void Tick(base::Millis now);
+  // Tokens from here on are this interface's; lower ones belong to others.
+  static constexpr uint64_t kFirstToken = 1ull << 32;
+
+ private:
+  struct Job {
+    uint64_t ticket = 0;
+    bool get = false;
+    bool confirmed = false;
+    Change change;
+    base::Millis deadline = 0;
+  };
+
+  void Serve(base::Millis now);
+  void Reply(uint64_t ticket, int status, const std::string& reason);
+  void Elsewhere(uint64_t ticket, const std::string& target);
+
+  Log* log_;
+  const Register* state_;
+  Answer answer_;
+  base::Millis patience_;
+  uint64_t next_token_ = kFirstToken;
+  std::map<uint64_t, Job> jobs_;  // by token, which is the order of arrival
+  struct InFlight {
+    uint64_t index = 0;
+    uint64_t token = 0;
+  };
+  std::optional<InFlight> in_flight_;
+};
+
+}  // namespace elderkeel::configuration
--- /dev/null
+++ b/src/consensus/replica.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/loop.h"
+#include "consensus/machine.h"
+#include "consensus/store.h"
+
+namespace elderkeel::consensus {
+
+// A member of the log at work: the state machine with its store, its thread and its timer.
+class Replica {
+ public:
+  struct Options {
+    Member self;  // the id is used by a founder only
+    std::vector<Member> founders;
+    uint64_t cluster = 0;
+    bool bootstrap = false;
+    std::string data_dir;  // empty: the log is held in memory
+    Timing timing;
+  };
+  struct Hooks {
+    std::function<void(const base::Address&, const Message&)> send;
+    std::function<void(const Entry&)> apply;
+    std::function<void(const Snapshot&)> install;
+    std::function<std::string()> snapshot_state;
+    std::function<void(uint64_t token, bool confirmed)> read_done;
+    std::function<void()> role_changed;
+  };
+
+  Replica(base::Loop* loop, Options options, Hooks hooks);
+
+  void Receive(const Message& message, const base::Address& from);
+  std::optional<Index> Propose(std::string command);
+  bool Read(uint64_t token);
+  void Join(const Member& member);
+  void Transfer();
+  void NoteZone(const std::string& ip, const std::string& zone) { machine_->NoteZone(ip, zone); }
+  const Machine& machine() const { return *machine_; }
+  Member self() const { return machine_->self(); }
+
+ private:
+  void Open(bool first);
+  void Pump();
+  void Reopen();
+
+  base::Loop* loop_;
+  Options options_;
+  Hooks hooks_;
+  std::unique_ptr<StoreThread> thread_;
+  std::unique_ptr<Machine> machine_;
+  base::Timer tick_;
+  base::Timer reopen_;
+  uint64_t opening_ = 0;  // tells finished writes of an earlier opening apart
+  bool pumping_ = false;
+};
+
+}  // namespace elderkeel::consensus
--- /dev/null
+++ b/src/consensus/store.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "base/error.h"
+#include "consensus/types.h"
+
+namespace elderkeel::consensus {
+
+// Where a member keeps what it must not forget.
+class Store {
+ public:
+  virtual ~Store() = default;
+  virtual base::Result<Restored> Load() = 0;
+  // On disk, synced, when it returns true.
+  virtual base::Result<bool> Write(const Persist& write) = 0;
+};
+
+// LevelDB in `directory`. A store that can't be read is no store: the caller begins anew with
+// another identity, which is safe since the old one then never votes again.
+base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory);
+// For machines without a disk: everything goes with the process.
+std::unique_ptr<Store> MakeMemoryStore();
+
+// Runs the writes of a store on a thread of its own: one that syncs is held by the disk, and
+// heartbeats must not be.
+class StoreThread {
+ public:
+  // `done` is called on this thread.
+  using Done = std::function<void(uint64_t sequence, base::Result<bool> result)>;
+  StoreThread(std::unique_ptr<Store> store, Done done);
+  ~StoreThread();
+  void Write(Persist write);
+  size_t queued();
+
+ private:
+  void Run();
+
+  std::unique_ptr<Store> store_;
+  Done done_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::deque<Persist> queue_;
+  bool ending_ = false;
+  std::thread thread_;
+};
+
+}  // namespace elderkeel::consensus
--- /dev/null
+++ b/src/controller/controller.cc
@@ -0,0 +1,446 @@
+#include "controller/controller.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "base/random.h"
+
+namespace elderkeel::controller {
+namespace {
+
+constexpr base::Millis kTickMs = 50;
+constexpr base::Millis kJoinEveryMs = 400;
+constexpr base::Millis kHolderPatienceMs = 1000;
+constexpr base::Millis kPlatformPatienceMs = 3000;
+constexpr base::Millis kResignGapMs = 5000;
+constexpr base::Millis kLeaveMs = 800;
+constexpr size_t kMaxControlBody = 16u << 20;
+
+consensus::MemberId FounderId(const base::Address& address) {
+  return base::Hash(address.ToString(), 7) | 1;
+}
+
+}  // namespace
+
+Controller::Controller(base::Loop* loop, base::Settings settings, std::string settings_path)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      assignment_(kHolderPatienceMs) {}
+
+consensus::Replica::Options Controller::ReplicaOptions() const {
+  consensus::Replica::Options options;
+  options.self.ip = settings_.ip;
+  options.self.port = settings_.ControllerPort();
+  options.self.id = FounderId(options.self.address());
+  options.self.control = settings_.control.ToString();
+  options.self.zone = settings_.zone;
+  options.bootstrap = settings_.bootstrap;
+  options.data_dir = settings_.data_dir;
+  options.timing.heartbeat = settings_.raft_heartbeat_ms;
+  options.timing.election = settings_.election_ms;
+  std::vector<std::string> names;
+  for (const base::Address& seed : settings_.seeds) {
+    consensus::Member member;
+    member.ip = seed.ip;
+    member.port = settings_.ControllerPort();
+    member.id = FounderId(member.address());
+    member.control = seed.ToString();
+    options.founders.push_back(member);
+    names.push_back(seed.ToString());
+  }
+  std::sort(options.founders.begin(), options.founders.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  std::sort(names.begin(), names.end());
+  std::string all;
+  for (const std::string& name : names) all += name + ",";
+  options.cluster = base::Hash(all) | 1;
+  return options;
+}
+
+base::Result<bool> Controller::Start() {
+  news::Fleet::Hooks hooks;
+  hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
+    OnMessage(from, kind, payload);
+  };
+  hooks.node_changed = [this](const ring::Node& node) {
+    if (replica_) replica_->NoteZone(node.ip, node.zone);
+    Note("node." + std::string(ring::StateName(node.state)), node.address().ToString());
+  };
+  fleet_ = std::make_unique<news::Fleet>(loop_, settings_, ring::Program::kController, hooks);
+
+  consensus::Replica::Hooks log;
+  log.send = [this](const base::Address& to, const consensus::Message& message) {
+    fleet_->mesh().Send(to, wire::Kind::kConsensus, message);
+  };
+  log.apply = [this](const consensus::Entry& entry) { Applied(entry); };
+  log.install = [this](const consensus::Snapshot& snapshot) {
+    ControlState state;
+    if (!snapshot.state.empty()) {
+      if (auto decoded = wire::Decode<ControlState>(snapshot.state)) state = std::move(*decoded);
+    }
+    state_ = std::move(state);
+    if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
+  };
+  log.snapshot_state = [this] { return wire::Encode(state_); };
+  log.read_done = [this](uint64_t token, bool ok) { ReadDone(token, ok); };
+  log.role_changed = [this] { RoleChanged(); };
+  operator_ = std::make_unique<configuration::OperatorApi>(
+      this, &state_.configuration, [this](uint64_t ticket, const wire::Message& answer) {
+        control_->Answer(ticket, answer);
+      });
+  wire::HttpServer::Options server;
+  server.limits = [] {
+    wire::Limits limits;
+    limits.body_bytes = kMaxControlBody;
+    return limits;
+  };
+  server.max_connections = 256;
+  control_ = std::make_unique<wire::HttpServer>(
+      loop_, server, [this](wire::HttpServer::Ticket ticket, wire::Message&& request) {
+        OnRequest(ticket, std::move(request));
+      });
+  platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
+  replica_ = std::make_unique<consensus::Replica>(loop_, ReplicaOptions(), std::move(log));
+  auto started = fleet_->Start();
+  if (!started) return started;
+  auto listening = control_->Listen(settings_.control);
+  if (!listening) return listening;
+  watch_ = std::make_unique<readiness::SettingsWatch>(
+      loop_, settings_path_, [this](const base::Settings& taken) {
+        base::SetLogLevel(base::ParseLogLevel(taken.log_level, base::LogLevel::kInfo));
+        settings_.poll_ms = taken.poll_ms;
+        settings_.seeds = taken.seeds;
+      });
+  loop_->OnSignal(SIGTERM, [this] { Terminate(); });
+  tick_.Repeat(loop_, kTickMs, [this] { Tick(); });
+  base::Info("controller.started", {{"node", settings_.node_name},
+                                    {"control", settings_.control.ToString()},
+                                    {"version", ELDERKEEL_VERSION}});
+  return true;
+}
+
+void Controller::Note(std::string what, std::string detail) {
+  journal_.Append({base::SteadyMillis(), std::move(what), std::move(detail)});
+}
+
+std::optional<std::string> Controller::leader_control() const {
+  auto leader = replica_->machine().leader();
+  if (!leader || leader->control.empty()) return std::nullopt;
+  return leader->control;
+}
+
+void Controller::OnRequest(wire::HttpServer::Ticket ticket, wire::Message&& request) {
+  base::Millis now = base::SteadyMillis();
+  if (configuration::OperatorApi::Owns(request.Path())) {
+    operator_->OnRequest(now, ticket, request);
+  } else if (request.Path() == "/elderkeel/status") {
+    wire::Message answer;
+    answer.status = request.method == "GET" ? 200 : 405;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    if (answer.status == 200) answer.body = StatusJson();
+    control_->Answer(ticket, answer);
+  } else {
+    control_->Answer(ticket, wire::OwnAnswer(404, "no such path"));
+  }
+}
+
+void Controller::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
+  base::Millis now = base::SteadyMillis();
+  switch (kind) {
+    case wire::Kind::kConsensus:
+      if (auto m = wire::Decode<consensus::Message>(payload)) replica_->Receive(*m, from);
+      break;
+    case wire::Kind::kJoin: {
+      auto member = wire::Decode<consensus::Member>(payload);
+      if (!member) break;
+      if (leading()) {
+        replica_->Join(*member);
+      } else if (auto leader = replica_->machine().leader();
+                 leader && leader->address() != from && leader->address() != member->address()) {
+        fleet_->mesh().Send(leader->address(), wire::Kind::kJoin, *member);
+      }
+      break;
+    }
+    case wire::Kind::kConfirm:
+      if (auto m = wire::Decode<news::Confirm>(payload)) OnConfirm(from, *m);
+      break;
+    case wire::Kind::kResign: {
+      auto m = wire::Decode<duty::Resignation>(payload);
+      if (!m || !leading()) break;
+      if (auto named = assignment_.Resigned(now, state_.duty, Candidates(now), *m)) {
+        replica_->Propose(MakeCommand(Command::Kind::kDuty, *named));
+      }
+      break;
+    }
+    default:
+      break;
+  }
+}
+
+void Controller::OnConfirm(const base::Address& from, const news::Confirm& confirm) {
+  if (settled() && confirms_.size() < 1024) {
+    uint64_t token = next_token_++;
+    confirms_[token] = {from, confirm.nonce};
+    if (replica_->Read(token)) return;
+    confirms_.erase(token);
+  }
+  news::ConfirmReply reply;
+  reply.nonce = confirm.nonce;
+  if (auto leader = replica_->machine().leader(); leader && !leading()) {
+    reply.leader_ip = leader->ip;
+    reply.leader_port = leader->port;
+  }
+  fleet_->mesh().Send(from, wire::Kind::kConfirmReply, reply);
+}
+
+void Controller::ReadDone(uint64_t token, bool confirmed) {
+  if (token >= configuration::OperatorApi::kFirstToken) {
+    operator_->ReadDone(base::SteadyMillis(), token, confirmed);
+    return;
+  }
+  auto at = confirms_.find(token);
+  if (at == confirms_.end()) return;
+  news::ConfirmReply reply;
+  reply.nonce = at->second.nonce;
+  if (confirmed) reply.revision = state_.configuration.revision();
+  fleet_->mesh().Send(at->second.from, wire::Kind::kConfirmReply, reply);
+  confirms_.erase(at);
+}
+
+void Controller::Applied(const consensus::Entry& entry) {
+  switch (state_.Apply(entry.data)) {
+    case ControlState::Effect::kConfiguration:
+      base::Info("configuration.committed", {{"revision", state_.configuration.revision()},
+                                             {"index", entry.index},
+                                             {"term", entry.term}});
+      Note("configuration.committed", std::to_string(state_.configuration.revision()));
+      fleet_->Commit(state_.configuration);
+      break;
+    case ControlState::Effect::kDuty:
+      base::Info("duty.named", {{"holder", state_.duty.holder},
+                                {"epoch", state_.duty.epoch},
+                                {"here", HoldsDuty()}});
+      Note("duty.named", std::to_string(state_.duty.holder));
+      assignment_.Clear();
+      read_ok_at_ = base::SteadyMillis();
+      poll_at_ = 0;
+      break;
+    case ControlState::Effect::kNone:
+      break;
+  }
+  operator_->Applied(base::SteadyMillis(), entry.index);
+}
+
+void Controller::RoleChanged() {
+  if (!replica_) return;  // still opening
+  const consensus::Machine& m = replica_->machine();
+  auto leader = m.leader();
+  base::Info("role.changed", {{"role", consensus::RoleName(m.role())},
+                              {"term", m.term()},
+                              {"leader", leader ? leader->address().ToString() : "none"}});
+  Note("role." + std::string(consensus::RoleName(m.role())), std::to_string(m.term()));
+  if (!leading()) assignment_.Clear();
+  operator_->RoleChanged(base::SteadyMillis());
+}
+
+bool Controller::HoldsDuty() const {
+  return state_.duty.holder != 0 && state_.duty.holder == replica_->self().id;
+}
+
+std::vector<duty::Candidate> Controller::Candidates(base::Millis now) const {
+  const consensus::Machine& m = replica_->machine();
+  std::vector<duty::Candidate> candidates;
+  for (const consensus::Member& v : m.voters()) {
+    base::Millis heard = m.LastHeard(v.id);
+    candidates.push_back({v.id, heard < 0 ? INT64_MAX : now - heard, v.id == m.self().id});
+  }
+  return candidates;
+}
+
+void Controller::Tick() {
+  base::Millis now = base::SteadyMillis();
+  operator_->Tick(now);
+  SeekMembership(now);
+  if (leading() && !leaving_) ReviewDuty(now);
+  WatchPlatform(now);
+}
+
+// A controller that no leader speaks to asks to be taken in, wherever it can.
+void Controller::SeekMembership(base::Millis now) {
+  const consensus::Machine& m = replica_->machine();
+  if (leaving_ || m.leading() || now < join_at_) return;
+  bool heard = m.leader_heard() != 0 && now - m.leader_heard() < settings_.election_ms * 2;
+  if (heard) return;
+  join_at_ = now + kJoinEveryMs;
+  for (const base::Address& address : fleet_->Controllers()) {
+    fleet_->mesh().Send(address, wire::Kind::kJoin, replica_->self());
+  }
+}
+
+void Controller::ReviewDuty(base::Millis now) {
+  if (!settled()) return;
+  if (auto named = assignment_.Review(now, state_.duty, Candidates(now))) {
+    replica_->Propose(MakeCommand(Command::Kind::kDuty, *named));
+  }
+}
+
+void Controller::Resign(base::Millis now, const char* why) {
+  resigned_at_ = now;
+  duty::Resignation resignation;
+  resignation.epoch = state_.duty.epoch;
+  // The leader knows best who is heard; a holder that is not the leader leaves the choice to it.
+  base::Info("duty.resigned", {{"epoch", resignation.epoch}, {"reason", why}});
+  if (leading()) {
+    if (auto named = assignment_.Resigned(now, state_.duty, Candidates(now), resignation)) {
+      replica_->Propose(MakeCommand(Command::Kind::kDuty, *named));
+    }
+  } else if (auto leader = replica_->machine().leader()) {
+    fleet_->mesh().Send(leader->address(), wire::Kind::kResign, resignation);
+  }
+}
+
+void Controller::WatchPlatform(base::Millis now) {
+  if (!HoldsDuty() || leaving_) return;
+  if (watched_epoch_ != state_.duty.epoch) {
+    watched_epoch_ = state_.duty.epoch;
+    sequence_ = 0;
+    read_ok_at_ = now;
+  }
+  if (now - read_ok_at_ > kPlatformPatienceMs && now - resigned_at_ > kResignGapMs &&
+      replica_->machine().voters().size() > 1) {
+    Resign(now, "the platform can't be read");
+  }
+  if (now < poll_at_ || platform_->busy()) return;
+  poll_at_ = now + settings_.poll_ms;
+  platform_->Read([this](base::Result<std::vector<catalog::Server>> read) {
+    if (!read) {
+      base::Warn("catalog.unread", read.error());
+      return;  // what was last read stays; nobody is removed
+    }
+    base::Millis now = base::SteadyMillis();
+    read_ok_at_ = now;
+    if (!HoldsDuty() || watched_epoch_ != state_.duty.epoch) return;
+    if (sequence_ > 0 && catalog::SameServers(servers_, *read)) {
+      fleet_->Confirm();
+      return;
+    }
+    servers_ = std::move(*read);
+    ++sequence_;
+    base::Info("catalog.changed", {{"epoch", watched_epoch_},
+                                   {"sequence", sequence_},
+                                   {"servers", servers_.size()}});
+    fleet_->Publish({watched_epoch_, sequence_, servers_});
+  });
+}
+
+void Controller::Terminate() {
+  if (leaving_) return;
+  base::Millis now = base::SteadyMillis();
+  base::Info("controller.leaving");
+  if (HoldsDuty()) Resign(now, "leaving");
+  leaving_ = true;
+  // The duty's entry goes out before leadership does.
+  leave_.Start(loop_, HoldsDuty() && leading() ? 150 : 0, [this] {
+    replica_->Transfer();
+    fleet_->Leave();
+    control_->SetLeaving(true);
+    leave_.Start(loop_, kLeaveMs, [this] {
+      base::Info("controller.left");
+      loop_->Stop();
+    });
+  });
+}
+
+std::string Controller::StatusJson() const {
+  base::Millis now = base::SteadyMillis();
+  const consensus::Machine& m = replica_->machine();
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+  auto text = [&](const char* key, const std::string& value) {
+    w.Key(key);
+    w.String(value.c_str());
+  };
+  auto number = [&](const char* key, int64_t value) {
+    w.Key(key);
+    w.Int64(value);
+  };
+  w.StartObject();
+  text("node", settings_.node_name);
+  text("role", consensus::RoleName(m.role()));
+  number("term", static_cast<int64_t>(m.term()));
+  number("commit", static_cast<int64_t>(m.commit()));
+  auto leader = m.leader();
+  w.Key("leader");
+  if (leader) {
+    w.String(leader->address().ToString().c_str());
+  } else {
+    w.Null();
+  }
+  w.Key("settled");
+  bool heard = leading() ? settled()
+                         : m.leader_heard() != 0 &&
+                               now - m.leader_heard() < settings_.election_ms * 2;
+  w.Bool(heard);
+  if (!heard) text("unknown", "no majority is heard: what follows is this controller's own view");
+  w.Key("voters");
+  w.StartArray();
+  for (const consensus::Member& v : m.voters()) {
+    w.StartObject();
+    text("address", v.address().ToString());
+    text("control", v.control);
+    if (leading()) number("silent-ms", m.LastHeard(v.id) < 0 ? -1 : now - m.LastHeard(v.id));
+    w.EndObject();
+  }
+  w.EndArray();
+  number("revision", state_.configuration.revision());
+  w.Key("duty");
+  w.StartObject();
+  number("epoch", static_cast<int64_t>(state_.duty.epoch));
+  w.Key("holder");
+  std::string holder;
+  for (const consensus::Member& v : m.voters()) {
+    if (v.id == state_.duty.holder) holder = v.address().ToString();
+  }
+  if (holder.empty()) {
+    w.Null();
+  } else {
+    w.String(holder.c_str());
+  }
+  w.EndObject();
+  w.Key("catalog");
+  w.StartObject();
+  number("epoch", static_cast<int64_t>(fleet_->news().catalog().epoch));
+  number("sequence", static_cast<int64_t>(fleet_->news().catalog().sequence));
+  number("servers", static_cast<int64_t>(fleet_->news().catalog().servers.size()));
+  number("age-ms", fleet_->news().catalog_age(now));
+  w.EndObject();
+  w.Key("nodes");
+  w.StartArray();
+  for (const auto& [id, node] : fleet_->members().nodes()) {
+    w.StartObject();
+    text("address", node.address().ToString());
+    text("program", node.program == ring::Program::kProxy ? "proxy" : "controller");
+    text("zone", node.zone);
+    text("state", ring::StateName(node.state));
+    w.EndObject();
+  }
+  w.EndArray();
+  w.Key("events");
+  w.StartArray();
+  for (const Event& event : journal_.recent()) {
+    w.StartObject();
+    number("ago-ms", now - event.at);
+    text("event", event.what);
+    text("detail", event.detail);
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return std::string(buffer.GetString(), buffer.GetSize());
+}
+
+}  // namespace elderkeel::controller
--- /dev/null
+++ b/src/controller/controller.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <memory>
+
+#include "base/journal.h"
+#include "base/loop.h"
+#include "base/settings.h"
+#include "catalog/platform.h"
+#include "configuration/operator_api.h"
+#include "consensus/replica.h"
+#include "controller/control_state.h"
+#include "duty/duty.h"
+#include "news/confirm.h"
+#include "news/fleet.h"
+#include "readiness/settings_watch.h"
+#include "wire/http_server.h"
+
+namespace elderkeel::controller {
+
+// The control plane's process: a member of the log, the operator's interface, and, when the log says
+// so, the one that watches the platform's list.
+class Controller : public configuration::Log {
+ public:
+  Controller(base::Loop* loop, base::Settings settings, std::string settings_path);
+
+  base::Result<bool> Start();
+  void Terminate();
+
+ private:
+  // What happened in this process, in order; `status` shows the last of it.
+  struct Event {
+    base::Millis at;
+    std::string what;
+    std::string detail;
+  };
+
+  // configuration::Log
+  bool settled() const override { return replica_->machine().settled(); }
+  bool leading() const override { return replica_->machine().leading(); }
+  std::optional<std::string> leader_control() const override;
+  bool Read(uint64_t token) override { return replica_->Read(token); }
+  std::optional<uint64_t> Propose(const configuration::Change& change) override {
+    return replica_->Propose(MakeCommand(Command::Kind::kConfiguration, change));
+  }
+
+  consensus::Replica::Options ReplicaOptions() const;
+  void OnRequest(wire::HttpServer::Ticket ticket, wire::Message&& request);
+  void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
+  void OnConfirm(const base::Address& from, const news::Confirm& confirm);
+  void ReadDone(uint64_t token, bool confirmed);
+  void Applied(const consensus::Entry& entry);
+  void RoleChanged();
+  void Tick();
+  void SeekMembership(base::Millis now);
+  void ReviewDuty(base::Millis now);
+  void WatchPlatform(base::Millis now);
+  void Resign(base::Millis now, const char* why);
+  std::vector<duty::Candidate> Candidates(base::Millis now) const;
+  bool HoldsDuty() const;
+  std::string StatusJson() const;
+  void Note(std::string what, std::string detail);
+
+  base::Loop* loop_;
+  base::Settings settings_;
+  std::string settings_path_;
+  ControlState state_;
+  base::Journal<Event> journal_{64};
+  std::unique_ptr<news::Fleet> fleet_;
+  std::unique_ptr<consensus::Replica> replica_;
+  std::unique_ptr<configuration::OperatorApi> operator_;
+  std::unique_ptr<wire::HttpServer> control_;
+  std::unique_ptr<catalog::Platform> platform_;
+  std::unique_ptr<readiness::SettingsWatch> watch_;
+  duty::Assignment assignment_;
+  base::Timer tick_;
+  base::Timer leave_;
+
+  struct Asked {
+    base::Address from;
+    uint64_t nonce;
+  };
+  std::map<uint64_t, Asked> confirms_;  // by read token
+  uint64_t next_token_ = 1;
+  base::Millis join_at_ = 0;
+  base::Millis poll_at_ = 0;
+  base::Millis read_ok_at_ = 0;    // when this holder last read the list
+  base::Millis resigned_at_ = 0;
+  uint64_t watched_epoch_ = 0;
+  uint64_t sequence_ = 0;
+  std::vector<catalog::Server> servers_;
+  bool leaving_ = false;
+};
+
+}  // namespace elderkeel::controller
--- /dev/null
+++ b/src/duty/duty.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "consensus/types.h"
+
+namespace elderkeel::duty {
+
+// Who watches the platform's list, as the log has it. The epoch rises at each change of holder, so
+// news of an earlier holder can be told from that of a later one.
+struct Duty {
+  consensus::MemberId holder = 0;
+  uint64_t epoch = 0;
+  template <class A>
+  void serialize(A& a) {
+    a(holder, epoch);
+  }
+};
+
+// A holder that leaves, or can't read the platform, names its successor to the leader.
+struct Resignation {
+  uint64_t epoch = 0;
+  consensus::MemberId successor = 0;  // 0: the leader picks
+  template <class A>
+  void serialize(A& a) {
+    a(epoch, successor);
+  }
+};
+
+struct Candidate {
+  consensus::MemberId id = 0;
+  base::Millis silent_ms = 0;
+  bool leader = false;
+};
+
+// The leader's part, pure: decides when the duty must pass on and to whom. The result is proposed to
+// the log; it holds once a majority has it.
+class Assignment {
+ public:
+  explicit Assignment(base::Millis patience) : patience_(patience) {}
+
+  std::optional<Duty> Review(base::Millis now, const Duty& current,
+                             const std::vector<Candidate>& candidates);
+  std::optional<Duty> Resigned(base::Millis now, const Duty& current,
+                               const std::vector<Candidate>& candidates,
+                               const Resignation& resignation);
+  // Forgets what was proposed: leadership changed, or the proposal took effect.
+  void Clear() { proposed_epoch_ = 0; }
+
+ private:
+  std::optional<Duty> Name(base::Millis now, const Duty& current, consensus::MemberId holder);
+
+  base::Millis patience_;
+  uint64_t proposed_epoch_ = 0;
+  base::Millis proposed_at_ = 0;
+};
+
+// Whom a holder should name, or a leader take: one that is heard, and not the leader if there is a
+// choice, so that one loss does not take both.
+consensus::MemberId PickHolder(const std::vector<Candidate>& candidates,
+                               consensus::MemberId except, base::Millis patience);
+
+}  // namespace elderkeel::duty
--- /dev/null
+++ b/src/forwarding/front.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <list>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "base/loop.h"
+#include "base/names.h"
+#include "base/settings.h"
+#include "budget/budget.h"
+#include "catalog/catalog.h"
+#include "configuration/document.h"
+#include "forwarding/ledger.h"
+#include "forwarding/servers.h"
+#include "telemetry/recorder.h"
+#include "wire/http_client.h"
+#include "wire/http_server.h"
+
+namespace elderkeel::forwarding {
+
+// Takes requests from clients and sees each one to its answer.
+class Front {
+ public:
+  Front(base::Loop* loop, const base::Settings& settings, telemetry::Recorder* recorder);
+  ~Front();
+
+  base::Result<bool> Listen();
+  void Adopt(std::shared_ptr<const configuration::Table> table);
+  void Adopt(const catalog::Catalog& catalog);
+  // Proxies in sight, this one included: they share budgets and the servers' connections.
+  void SetProxies(size_t proxies);
+  // Until both a configuration and a catalog are there, requests get 503.
+  bool able() const { return table_ != nullptr && has_catalog_; }
+
+  void SetLeaving() { server_.SetLeaving(true); }
+  void StopListening() { server_.StopListening(); }
+  void CloseIdle() { server_.CloseIdle(); }
+  size_t busy() const { return server_.busy(); }
+  // Gives every request that is still here its final answer.
+  void FinishAll();
+
+  base::Names* names() { return &services_; }
+  int64_t revision() const { return table_ ? table_->revision() : 0; }
+
+ private:
+  using Ticket = wire::HttpServer::Ticket;
+
+  struct Send {
+    uint64_t id = 0;
+    size_t entry = 0;  // in the ledger
+    uint32_t server = 0;
+    base::Millis begun = 0;
+    std::unique_ptr<wire::HttpConnection> connection;
+  };
+
+  struct Exchange {
+    Exchange(bool idempotent, int attempts) : ledger(idempotent, attempts) {}
+    Ticket ticket = 0;
+    wire::Message request;
+    std::shared_ptr<const configuration::Table> table;  // pinned when the head was read
+    const configuration::Route* route = nullptr;
+    uint32_t service = 0;
+    std::string attempt;
+    int64_t arrived_ns = 0;
+    base::Millis arrived = 0;
+    base::Millis deadline = 0;
+    base::Millis wait_until = 0;
+    base::Millis second_at = 0;  // when a second send is due; 0 for never
+    Ledger ledger;
+    std::vector<Send> sends;  // those in flight
+    std::vector<uint32_t> tried;
+    bool queued = false;
+    int64_t waited_ns = 0;
+    uint32_t last_server = UINT32_MAX;
+    telemetry::Step last_step = telemetry::Step::kNone;
+    std::string last_reason;
+    std::unique_ptr<wire::Message> kept;  // a server's own failure, if nothing better comes
+    base::Timer timer;
+  };
+
+  struct Pool {
+    std::vector<std::unique_ptr<wire::HttpConnection>> idle;  // the last used at the back
+    size_t open = 0;
+  };
+
+  void OnRequest(Ticket ticket, wire::Message&& request);
+  void OnGone(Ticket ticket);
+  void Reject(Ticket ticket, int status, const char* reason, const std::string& attempt);
+  // Sends to the best server, or waits for one.
+  void Place(Exchange* x);
+  bool SendTo(Exchange* x, uint32_t server);
+  void OnOutcome(Ticket ticket, uint64_t send, wire::HttpConnection::Outcome&& outcome);
+  void After(Exchange* x);
+  void Arm(Exchange* x);
+  void OnTimer(Ticket ticket);
+  void SecondSend(Exchange* x);
+  void Finish(Exchange* x, const wire::Message& answer, telemetry::Step step,
+              const std::string& reason, bool failed);
+  void GiveUp(Exchange* x, telemetry::Step step, const std::string& reason, bool deadline);
+  void DropSends(Exchange* x);
+  void Erase(Exchange* x);
+  void Queue(Exchange* x);
+  void Unqueue(Exchange* x);
+  void PumpQueue(uint32_t service);
+  std::unique_ptr<wire::HttpConnection> TakeConnection(uint32_t server, bool idempotent);
+  void GiveBack(uint32_t server, std::unique_ptr<wire::HttpConnection> connection);
+  void Discard(uint32_t server, std::unique_ptr<wire::HttpConnection> connection);
+  std::string RequestBytes(const Exchange& x, const std::string& server_id) const;
+  // Empty if the answer may go to the client as it is; else what is wrong with it.
+  std::string AnswerFault(const Exchange& x, const wire::Message& answer) const;
+  double& MeanOf(uint32_t route);
+  void Tick();
+  void Probe(uint32_t server);
+  void Record(const Exchange& x, int status, telemetry::Step step, const std::string& reason,
+              bool failed);
+
+  base::Loop* loop_;
+  const base::Settings& settings_;
+  telemetry::Recorder* recorder_;
+  base::Names services_;
+  base::Names routes_;
+  std::shared_ptr<const configuration::Table> table_;
+  bool has_catalog_ = false;
+  Servers servers_;
+  budget::Budget budget_;
+  wire::HttpServer server_;
+  std::vector<Pool> pools_;
+  std::vector<double> means_;  // of a route's latency at its servers, EWMA, ms
+  std::unordered_map<Ticket, std::unique_ptr<Exchange>> exchanges_;
+  std::vector<std::list<Exchange*>> queues_;  // by service; by priority, then arrival
+  std::unordered_map<uint32_t, std::unique_ptr<wire::HttpCall>> probes_;
+  size_t proxies_ = 1;
+  uint64_t next_send_ = 1;
+  base::Timer tick_;
+};
+
+}  // namespace elderkeel::forwarding
--- /dev/null
+++ b/src/forwarding/servers.cc
@@ -0,0 +1,184 @@
+#include "forwarding/servers.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace elderkeel::forwarding {
+namespace {
+constexpr double kPaceWeight = 0.15;
+constexpr double kLimitGrowth = 0.25;
+constexpr double kWarmPenalty = 1.0;  // a server that is not warm counts as twice as slow
+}  // namespace
+
+std::vector<Servers::Change> Servers::Adopt(base::Millis now, const catalog::Catalog& catalog) {
+  std::vector<Change> changes;
+  std::vector<bool> seen(servers_.size(), false);
+  for (const catalog::Server& entry : catalog.servers) {
+    auto address = base::ParseAddress(entry.address);
+    if (!address) continue;
+    bool known = ids_.Find(entry.id) != base::Names::kNone;
+    uint32_t index = ids_.Intern(entry.id);
+    if (!known) {
+      servers_.emplace_back();
+      seen.push_back(false);
+      Server& s = servers_.back();
+      s.id = entry.id;
+      s.service = services_->Intern(entry.service);
+      s.address = *address;
+      s.near = entry.zone == options_.zone;
+      s.capacity = entry.capacity;
+      s.limit = entry.capacity;
+      s.warm_at = now + std::max(0, entry.warmup_left_ms);
+      if (s.service >= by_service_.size()) by_service_.resize(s.service + 1);
+      by_service_[s.service].push_back(index);
+      changes.push_back({index, Change::What::kNew});
+    }
+    seen[index] = true;
+    Server& s = servers_[index];
+    s.listed = true;
+    s.capacity = entry.capacity;
+    if (entry.draining && !s.draining) changes.push_back({index, Change::What::kDraining});
+    s.draining = entry.draining;
+  }
+  for (uint32_t i = 0; i < servers_.size(); ++i) {
+    if (!seen[i] && servers_[i].listed) {
+      servers_[i].listed = false;
+      changes.push_back({i, Change::What::kGone});
+    }
+  }
+  return changes;
+}
+
+bool Servers::Any(uint32_t service) const {
+  if (service >= by_service_.size()) return false;
+  for (uint32_t i : by_service_[service]) {
+    if (servers_[i].listed && !servers_[i].draining) return true;
+  }
+  return false;
+}
+
+uint32_t Servers::Choose(base::Millis now, uint32_t service, double mean_ms,
+                         const std::vector<uint32_t>& tried, bool idempotent) {
+  if (service >= by_service_.size()) return kNone;
+  mean_ms = std::max(1.0, mean_ms);
+  uint32_t best = kNone;
+  double best_score = 0;
+  bool any_open = false;
+  auto consider = [&](bool held_too) {
+    for (uint32_t i : by_service_[service]) {
+      Server& s = servers_[i];
+      if (!s.listed || s.draining) continue;
+      if (std::find(tried.begin(), tried.end(), i) != tried.end()) continue;
+      if (!held_too) {
+        if (!s.Open()) continue;
+        // A server just let back shows itself with what may be repeated.
+        if (s.on_trial && (!idempotent || s.in_flight > 0)) continue;
+      }
+      any_open = true;
+      if (s.in_flight >= std::max(1.0, std::floor(s.limit))) continue;
+      double pace = s.pace;
+      if (now < s.warm_at) pace *= 1 + kWarmPenalty;
+      // A send that has been out for long says more than answers of before.
+      for (base::Millis begun : s.begun) {
+        pace = std::max(pace, static_cast<double>(now - begun) / mean_ms * 0.5);
+      }
+      double score = pace * (1 + static_cast<double>(s.in_flight) / s.capacity);
+      if (!s.near) score += options_.far_penalty;
+      score += random_.Unit() * 0.1;  // many nodes with the same view must not all choose the same
+      if (best == kNone || score < best_score) {
+        best = i;
+        best_score = score;
+      }
+    }
+  };
+  consider(false);
+  // With nothing open, a condemned server is still better than none.
+  if (best == kNone && !any_open) consider(true);
+  return best;
+}
+
+void Servers::Begin(base::Millis now, uint32_t server) {
+  Server& s = servers_[server];
+  ++s.in_flight;
+  s.begun.push_back(now);
+}
+
+void Servers::Remove(uint32_t server, base::Millis begun) {
+  Server& s = servers_[server];
+  --s.in_flight;
+  auto at = std::find(s.begun.begin(), s.begun.end(), begun);
+  if (at != s.begun.end()) s.begun.erase(at);
+}
+
+void Servers::Abandon(uint32_t server, base::Millis begun) { Remove(server, begun); }
+
+void Servers::Hold(base::Millis now, Server* s) {
+  base::Millis hold = options_.hold_first << std::min(s->failures - 1, 6);
+  s->held_until = now + std::min(hold, options_.hold_most);
+  s->on_trial = false;
+}
+
+void Servers::End(base::Millis now, uint32_t server, base::Millis begun, Signal signal,
+                  double latency_ms, double mean_ms) {
+  Remove(server, begun);
+  Server& s = servers_[server];
+  switch (signal) {
+    case Signal::kGood:
+      s.failures = s.bad_probes = 0;
+      s.held_until = 0;
+      s.on_trial = false;
+      s.limit = std::min<double>(s.capacity + 1, s.limit + kLimitGrowth);
+      if (latency_ms >= 0 && mean_ms > 0 && now >= s.warm_at) {
+        double pace = std::clamp(latency_ms / mean_ms, 0.1, 10.0);
+        s.pace += kPaceWeight * (pace - s.pace);
+      }
+      break;
+    case Signal::kFull:
+      s.limit = std::max(1.0, s.limit / 2);
+      break;
+    case Signal::kBroken:
+      s.limit = std::max(1.0, s.limit / 2);
+      if (++s.failures >= 2 || s.on_trial) Hold(now, &s);
+      break;
+    case Signal::kUnreachable:
+      ++s.failures;
+      Hold(now, &s);
+      break;
+    case Signal::kMisplaced:
+      // Its address is another's: gone, whatever an older list may say.
+      s.failures += 4;
+      s.held_until = now + options_.hold_most;
+      break;
+  }
+}
+
+std::vector<uint32_t> Servers::DueProbes(base::Millis now) {
+  std::vector<uint32_t> due;
+  for (uint32_t i = 0; i < servers_.size(); ++i) {
+    Server& s = servers_[i];
+    if (!s.listed || s.draining || s.probing || s.on_trial) continue;
+    if (s.held_until == 0 || now < s.held_until) continue;
+    s.probing = true;
+    due.push_back(i);
+  }
+  return due;
+}
+
+void Servers::Probed(base::Millis now, uint32_t server, bool good) {
+  Server& s = servers_[server];
+  s.probing = false;
+  if (s.held_until == 0) return;  // an answer spoke first
+  s.bad_probes = good ? 0 : s.bad_probes + 1;
+  // Health answers may lie both ways. A good one lets the server show itself with one request; so
+  // does every second bad one, since a server that is well must not stay out for ever.
+  if (good || s.bad_probes % 2 == 0) {
+    s.held_until = 0;
+    s.on_trial = true;
+    s.limit = 1;
+    return;
+  }
+  ++s.failures;
+  Hold(now, &s);
+}
+
+}  // namespace elderkeel::forwarding
--- /dev/null
+++ b/src/news/fleet.cc
@@ -0,0 +1,174 @@
+#include "news/fleet.h"
+
+#include "base/log.h"
+#include "base/random.h"
+
+namespace elderkeel::news {
+namespace {
+
+constexpr base::Millis kTickMs = 50;
+
+uint16_t PortOf(const base::Settings& settings, ring::Program program) {
+  return program == ring::Program::kController ? settings.ControllerPort() : settings.ProxyPort();
+}
+
+ring::Membership::Options MemberOptions(const base::Settings& settings, ring::Program program) {
+  ring::Membership::Options options;
+  ring::Node& self = options.self;
+  self.ip = settings.ip;
+  self.port = PortOf(settings, program);
+  self.id = base::Hash(self.address().ToString());
+  self.program = program;
+  self.zone = settings.zone;
+  self.life = base::SystemSeed();
+  options.heartbeat = settings.heartbeat_ms;
+  options.seed = base::SystemSeed();
+  return options;
+}
+
+std::vector<base::Address> SeedNodes(const base::Settings& settings, ring::Program program) {
+  std::vector<base::Address> seeds;
+  for (const base::Address& seed : settings.seeds) {
+    base::Address node{seed.ip, settings.ControllerPort()};
+    if (node.ip != settings.ip || program != ring::Program::kController) seeds.push_back(node);
+  }
+  return seeds;
+}
+
+Exchange::Options NewsOptions(const base::Settings& settings) {
+  Exchange::Options options;
+  options.seed = base::SystemSeed();
+  options.digest_every = settings.digest_ms;
+  return options;
+}
+
+}  // namespace
+
+Fleet::Fleet(base::Loop* loop, const base::Settings& settings, ring::Program program, Hooks hooks)
+    : loop_(loop),
+      settings_(settings),
+      hooks_(std::move(hooks)),
+      mesh_(loop, {settings.ip, PortOf(settings, program)},
+            [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
+              OnMessage(from, kind, payload);
+            }),
+      members_(MemberOptions(settings, program), SeedNodes(settings, program),
+               base::SteadyMillis()),
+      exchange_(NewsOptions(settings), &members_, base::SteadyMillis()) {}
+
+base::Result<bool> Fleet::Start() {
+  auto listening = mesh_.Listen();
+  if (!listening) return listening;
+  tick_.Repeat(loop_, kTickMs, [this] {
+    base::Millis now = base::SteadyMillis();
+    members_.Tick(now);
+    exchange_.Tick(now);
+    Pump();
+  });
+  members_.Tick(base::SteadyMillis());
+  Pump();
+  return true;
+}
+
+void Fleet::Leave() {
+  members_.Leave(base::SteadyMillis());
+  Pump();
+}
+
+void Fleet::Commit(const configuration::Register& state) {
+  exchange_.Commit(base::SteadyMillis(), state);
+  Pump();
+}
+void Fleet::Publish(catalog::Catalog catalog) {
+  exchange_.Publish(base::SteadyMillis(), std::move(catalog));
+  Pump();
+}
+void Fleet::Confirm() { exchange_.Confirm(base::SteadyMillis()); }
+void Fleet::AdoptOwnReading(std::vector<catalog::Server> servers) {
+  exchange_.AdoptOwnReading(base::SteadyMillis(), std::move(servers));
+  Pump();
+}
+
+std::vector<base::Address> Fleet::Controllers() const {
+  std::vector<base::Address> near, far;
+  for (const ring::Node* node : members_.Others()) {
+    if (node->program != ring::Program::kController) continue;
+    (node->zone == settings_.zone ? near : far).push_back(node->address());
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  for (const base::Address& seed : settings_.seeds) {
+    base::Address address{seed.ip, settings_.ControllerPort()};
+    bool known = false;
+    for (const base::Address& a : near) known |= a == address;
+    if (!known) near.push_back(address);
+  }
+  return near;
+}
+
+void Fleet::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
+  base::Millis now = base::SteadyMillis();
+  switch (kind) {
+    case wire::Kind::kHeartbeat:
+      if (auto m = wire::Decode<ring::Heartbeat>(payload)) members_.OnHeartbeat(now, from, *m);
+      break;
+    case wire::Kind::kMembers:
+      if (auto m = wire::Decode<ring::Table>(payload)) members_.OnTable(now, from, *m);
+      break;
+    case wire::Kind::kDigest:
+      if (auto m = wire::Decode<Digest>(payload)) exchange_.OnDigest(now, from, *m);
+      break;
+    case wire::Kind::kPull:
+      if (auto m = wire::Decode<Pull>(payload)) exchange_.OnPull(now, from, *m);
+      break;
+    case wire::Kind::kConfigNews:
+      if (auto m = wire::Decode<ConfigNews>(payload)) exchange_.OnConfig(now, from, *m);
+      break;
+    case wire::Kind::kCatalogNews:
+      if (auto m = wire::Decode<CatalogNews>(payload)) exchange_.OnCatalog(now, from, *m);
+      break;
+    default:
+      if (hooks_.other) hooks_.other(from, kind, payload);
+      break;
+  }
+  Pump();
+}
+
+void Fleet::Pump() {
+  if (pumping_) return;
+  pumping_ = true;
+  base::Millis now = base::SteadyMillis();
+  for (;;) {
+    ring::Membership::Effects ring = members_.Take();
+    for (const ring::Node& node : ring.changed) {
+      base::Info("node.changed", {{"node", node.address().ToString()},
+                                  {"state", ring::StateName(node.state)},
+                                  {"incarnation", node.incarnation}});
+      if (node.state == ring::State::kAlive) exchange_.OnHeard(now, node);
+      if (!node.reachable()) exchange_.OnLost(node);
+      if (hooks_.node_changed) hooks_.node_changed(node);
+    }
+    Exchange::Effects news = exchange_.Take();
+    for (auto& [to, m] : ring.heartbeats) mesh_.SendDatagram(to, wire::Kind::kHeartbeat, m);
+    for (auto& [to, m] : ring.tables) {
+      // Small tables fit a datagram, which needs no connection to a node that may be gone.
+      std::string bytes = wire::Encode(m);
+      if (bytes.size() > 1300 || !mesh_.SendDatagram(to, wire::Kind::kMembers, std::string_view(bytes))) {
+        mesh_.Send(to, wire::Kind::kMembers, std::string_view(bytes));
+      }
+    }
+    for (auto& [to, m] : news.digests) mesh_.SendDatagram(to, wire::Kind::kDigest, m);
+    for (auto& [to, m] : news.pulls) mesh_.Send(to, wire::Kind::kPull, m);
+    for (auto& [to, m] : news.configs) mesh_.Send(to, wire::Kind::kConfigNews, m);
+    for (auto& [to, m] : news.catalogs) mesh_.Send(to, wire::Kind::kCatalogNews, m);
+    if (news.config_adopted && hooks_.config_adopted) hooks_.config_adopted();
+    if (news.catalog_adopted && hooks_.catalog_adopted) hooks_.catalog_adopted();
+    if (ring.changed.empty() && ring.heartbeats.empty() && ring.tables.empty() &&
+        news.digests.empty() && news.pulls.empty() && news.configs.empty() &&
+        news.catalogs.empty() && !news.config_adopted && !news.catalog_adopted) {
+      break;
+    }
+  }
+  pumping_ = false;
+}
+
+}  // namespace elderkeel::news
--- /dev/null
+++ b/src/proxy/proxy.cc
@@ -0,0 +1,191 @@
+#include "proxy/proxy.h"
+
+#include <algorithm>
+#include <csignal>
+
+#include "base/log.h"
+#include "base/random.h"
+#include "news/confirm.h"
+
+namespace elderkeel::proxy {
+namespace {
+
+constexpr base::Millis kTickMs = 100;
+constexpr base::Millis kAskEveryMs = 250;
+constexpr base::Millis kFirstCatalogMs = 1500;  // a node that has none asks for itself after this
+constexpr size_t kTelemetryFileBytes = 4u << 20;
+
+}  // namespace
+
+Proxy::Proxy(base::Loop* loop, base::Settings settings, std::string settings_path)
+    : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)) {
+  readiness::Readiness::Options options;
+  options.grace = settings_.grace_s * 1000;
+  readiness_ = readiness::Readiness(options);
+}
+
+Proxy::~Proxy() = default;
+
+std::unique_ptr<telemetry::Sink> Proxy::MakeSink() {
+  if (settings_.telemetry_sink == "file" && !settings_.telemetry_file.empty()) {
+    return telemetry::MakeFileSink(settings_.telemetry_file, kTelemetryFileBytes);
+  }
+  return telemetry::MakeStdoutSink();
+}
+
+base::Result<bool> Proxy::Start() {
+  telemetry::Recorder::Options telemetry;
+  telemetry.flush_ms = settings_.telemetry_flush_ms;
+  recorder_ = std::make_unique<telemetry::Recorder>(telemetry, MakeSink());
+  front_ = std::make_unique<forwarding::Front>(loop_, settings_, recorder_.get());
+  platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
+
+  news::Fleet::Hooks hooks;
+  hooks.config_adopted = [this] { ConfigAdopted(); };
+  hooks.catalog_adopted = [this] { CatalogAdopted(); };
+  hooks.node_changed = [this](const ring::Node&) {
+    front_->SetProxies(fleet_->members().CountAlive(ring::Program::kProxy));
+  };
+  hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
+    OnMessage(from, kind, payload);
+  };
+  fleet_ = std::make_unique<news::Fleet>(loop_, settings_, ring::Program::kProxy, hooks);
+  auto started = fleet_->Start();
+  if (!started) return started;
+
+  wire::HttpServer::Options options;
+  options.limits = [] { return wire::Limits(); };
+  options.max_connections = 64;
+  ready_server_ = std::make_unique<wire::HttpServer>(
+      loop_, options, [this](wire::HttpServer::Ticket ticket, wire::Message&& request) {
+        bool ready = readiness_.Ready(base::SteadyMillis());
+        wire::Message answer = request.Path() != "/elderkeel/ready"
+                                   ? wire::OwnAnswer(404, "no such path")
+                                   : wire::OwnAnswer(ready ? 200 : 503, ready ? "" : "not ready");
+        if (answer.status == 200) answer.body = "{}";
+        ready_server_->Answer(ticket, answer);
+      });
+  auto listening = ready_server_->Listen(settings_.readiness);
+  if (!listening) return listening;
+  listening = front_->Listen();
+  if (!listening) return listening;
+  watch_ = std::make_unique<readiness::SettingsWatch>(
+      loop_, settings_path_, [this](const base::Settings& taken) {
+        base::SetLogLevel(base::ParseLogLevel(taken.log_level, base::LogLevel::kInfo));
+        settings_.seeds = taken.seeds;
+        settings_.second_sends = taken.second_sends;
+        settings_.wait_share_percent = taken.wait_share_percent;
+        settings_.connect_ms = taken.connect_ms;
+      });
+  loop_->OnSignal(SIGTERM, [this] { Terminate(); });
+  tick_.Repeat(loop_, kTickMs, [this] { Tick(); });
+  base::Info("proxy.started", {{"node", settings_.node_name},
+                               {"front", settings_.front.ToString()},
+                               {"version", ELDERKEEL_VERSION}});
+  return true;
+}
+
+void Proxy::ConfigAdopted() {
+  auto table = configuration::Table::Build(fleet_->news().config_text(), front_->names());
+  if (!table) {
+    base::Warn("configuration.unread", {{"revision", fleet_->news().revision()}});
+    return;
+  }
+  front_->Adopt(std::move(table));
+  base::Info("configuration.adopted", {{"revision", fleet_->news().revision()}});
+}
+
+void Proxy::CatalogAdopted() { front_->Adopt(fleet_->news().catalog()); }
+
+void Proxy::OnMessage(const base::Address&, wire::Kind kind, std::string_view payload) {
+  if (kind != wire::Kind::kConfirmReply) return;
+  auto reply = wire::Decode<news::ConfirmReply>(payload);
+  if (!reply || reply->nonce != nonce_) return;
+  if (reply->revision >= 0) {
+    wanted_revision_ = reply->revision;
+  } else if (!reply->leader_ip.empty()) {
+    fleet_->mesh().Send({reply->leader_ip, reply->leader_port}, wire::Kind::kConfirm,
+                        news::Confirm{nonce_});
+  }
+}
+
+void Proxy::AskConfirmation(base::Millis now) {
+  if (readiness_.confirmed()) return;
+  if (wanted_revision_ > 0 && fleet_->news().revision() >= wanted_revision_) {
+    readiness_.Confirmed();
+    base::Info("configuration.confirmed", {{"revision", fleet_->news().revision()}});
+    return;
+  }
+  if (now < ask_at_) return;
+  ask_at_ = now + kAskEveryMs;
+  std::vector<base::Address> controllers = fleet_->Controllers();
+  if (controllers.empty()) return;
+  if (nonce_ == 0) nonce_ = base::SystemSeed() | 1;
+  const base::Address& to = controllers[next_controller_++ % controllers.size()];
+  fleet_->mesh().Send(to, wire::Kind::kConfirm, news::Confirm{nonce_});
+  // The same controller has news if this node has none.
+  if (fleet_->news().revision() < std::max<int64_t>(1, wanted_revision_)) {
+    fleet_->mesh().Send(to, wire::Kind::kPull, news::Pull{});
+  }
+}
+
+// A stale list is worse than a few calls: a node that hears nothing of the list any more asks for
+// itself, so seldom that all nodes together stay below the platform's rate.
+void Proxy::ReadForItself(base::Millis now) {
+  base::Millis age = fleet_->news().catalog_age(now);
+  base::Millis patience = age < 0 ? kFirstCatalogMs : settings_.stale_catalog_ms;
+  if (platform_->busy() || now < read_at_) return;
+  size_t nodes = fleet_->members().Others().size() + 1;
+  base::Millis gap = std::max<base::Millis>(
+      1000, static_cast<base::Millis>(static_cast<double>(nodes) * 4000 / settings_.platform_rate_per_s));
+  if (read_at_ == 0) {
+    // Staggered by the place on the ring, so that nodes that start together do not ask together.
+    read_at_ = now + patience + static_cast<base::Millis>(fleet_->members().self().id % 1000);
+    return;
+  }
+  if (age >= 0 && age < patience) return;
+  read_at_ = now + gap;
+  platform_->Read([this](base::Result<std::vector<catalog::Server>> read) {
+    if (!read) {
+      base::Warn("catalog.unread", read.error());
+      read_at_ = base::SteadyMillis() + 2000;
+      return;
+    }
+    base::Info("catalog.own_reading", {{"servers", read->size()}});
+    fleet_->AdoptOwnReading(std::move(*read));
+  });
+}
+
+void Proxy::Tick() {
+  base::Millis now = base::SteadyMillis();
+  if (front_->able()) readiness_.Able(now);
+  if (!readiness_.leaving()) {
+    AskConfirmation(now);
+    ReadForItself(now);
+  }
+  switch (readiness_.At(now, front_->busy())) {
+    case readiness::Readiness::Phase::kServing:
+    case readiness::Readiness::Phase::kAccepting:
+      break;
+    case readiness::Readiness::Phase::kFinishing:
+      front_->CloseIdle();
+      break;
+    case readiness::Readiness::Phase::kAnswering:
+      front_->FinishAll();
+      break;
+    case readiness::Readiness::Phase::kEnd:
+      base::Info("proxy.left");
+      loop_->Stop();
+      break;
+  }
+}
+
+void Proxy::Terminate() {
+  if (readiness_.leaving()) return;
+  base::Info("proxy.leaving", {{"busy", front_->busy()}});
+  readiness_.Leave(base::SteadyMillis());
+  front_->SetLeaving();
+  fleet_->Leave();
+}
+
+}  // namespace elderkeel::proxy
--- /dev/null
+++ b/src/proxy/proxy.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+
+#include "base/loop.h"
+#include "base/settings.h"
+#include "catalog/platform.h"
+#include "forwarding/front.h"
+#include "news/fleet.h"
+#include "readiness/readiness.h"
+#include "readiness/settings_watch.h"
+#include "telemetry/recorder.h"
+#include "wire/http_server.h"
+
+namespace elderkeel::proxy {
+
+// The data plane's process: takes news, forwards requests, and says when it is ready.
+class Proxy {
+ public:
+  Proxy(base::Loop* loop, base::Settings settings, std::string settings_path);
+  ~Proxy();
+
+  base::Result<bool> Start();
+  void Terminate();
+
+ private:
+  void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
+  void ConfigAdopted();
+  void CatalogAdopted();
+  void Tick();
+  void AskConfirmation(base::Millis now);
+  void ReadForItself(base::Millis now);
+  std::unique_ptr<telemetry::Sink> MakeSink();
+
+  base::Loop* loop_;
+  base::Settings settings_;
+  std::string settings_path_;
+  std::unique_ptr<telemetry::Recorder> recorder_;
+  std::unique_ptr<news::Fleet> fleet_;
+  std::unique_ptr<forwarding::Front> front_;
+  std::unique_ptr<wire::HttpServer> ready_server_;
+  std::unique_ptr<catalog::Platform> platform_;
+  std::unique_ptr<readiness::SettingsWatch> watch_;
+  readiness::Readiness readiness_;
+  base::Timer tick_;
+  base::Timer leave_;
+
+  uint64_t nonce_ = 0;
+  base::Millis ask_at_ = 0;
+  size_t next_controller_ = 0;
+  int64_t wanted_revision_ = -1;  // what the core confirmed as current
+  base::Millis read_at_ = 0;
+};
+
+}  // namespace elderkeel::proxy
--- /dev/null
+++ b/src/readiness/readiness.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace elderkeel::readiness {
+
+// When a proxy calls itself ready, and the steps of its leaving. Pure.
+//
+// A proxy is ready once it has a catalog and a configuration that the core has confirmed as current.
+// If the core can't confirm, since it has no majority just then, what other nodes serve by is good
+// enough after a while: an old configuration serves better than none, and news replaces it.
+class Readiness {
+ public:
+  struct Options {
+    base::Millis unconfirmed = 1500;    // patience with a core that does not confirm
+    base::Millis notice = 2500;         // the platform may still send for so long after "not ready"
+    base::Millis grace = 6000;
+  };
+  enum class Phase { kServing, kAccepting, kFinishing, kAnswering, kEnd };
+
+  Readiness() : Readiness(Options()) {}
+  explicit Readiness(Options options) : options_(options) {}
+
+  void Able(base::Millis now) {
+    if (able_at_ < 0) able_at_ = now;
+  }
+  void Confirmed() { confirmed_ = true; }
+  void Leave(base::Millis now) {
+    if (left_at_ < 0) left_at_ = now;
+  }
+  bool leaving() const { return left_at_ >= 0; }
+  bool confirmed() const { return confirmed_; }
+
+  bool Ready(base::Millis now) const {
+    if (leaving() || able_at_ < 0) return false;
+    return confirmed_ || now - able_at_ >= options_.unconfirmed;
+  }
+
+  // Leaving: first connections are still accepted, since the platform learns only by asking; then
+  // what is here is finished; near the end of grace what is left is answered; then the end.
+  Phase At(base::Millis now, size_t busy) const {
+    if (!leaving()) return Phase::kServing;
+    base::Millis gone = now - left_at_;
+    base::Millis notice = options_.notice < options_.grace / 2 ? options_.notice : options_.grace / 2;
+    if (gone < notice) return Phase::kAccepting;
+    if (gone >= options_.grace - options_.grace / 8) return Phase::kEnd;
+    if (gone >= options_.grace - options_.grace / 5) return Phase::kAnswering;
+    return busy > 0 ? Phase::kFinishing : Phase::kEnd;
+  }
+
+ private:
+  Options options_;
+  base::Millis able_at_ = -1;
+  base::Millis left_at_ = -1;
+  bool confirmed_ = false;
+};
+
+}  // namespace elderkeel::readiness
--- /dev/null
+++ b/src/telemetry/buffer.h
@@ -0,0 +1,359 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <memory>
+#include <optional>
+#include <type_traits>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace elderkeel::telemetry {
+
+enum class Mode {
+  kDiscard,         // a full buffer refuses and counts new records
+  kFlightRecorder,  // a full buffer gives up its oldest sub-buffer
+};
+
+// The circular buffer of one request thread, after the scheme of Desnoyers and Dagenais; names and
+// equation numbers are the paper's, and docs/telemetry.md tells what was kept and what changed.
+//
+// `Word` is the type of the free-running counts. The product uses 64 bits; the tests use 32 to see
+// the counts wrap.
+template <class Word = uint64_t>
+class Buffer {
+ public:
+  struct Options {
+    size_t subbuffer_bytes = 4096;  // a power of two
+    size_t subbuffers = 8;          // a power of two, at least 2
+    Mode mode = Mode::kDiscard;
+    Word start = 0;  // first value of the counts; a multiple of the buffer's size
+  };
+
+  struct RecordHeader {
+    uint64_t time = 0;
+    uint32_t size = 0;  // of the payload
+    uint32_t type = 0;
+  };
+
+  // Space reserved for one record. It must be committed, and can be written until then.
+  struct Slot {
+    std::byte* payload = nullptr;
+    Word begin = 0;       // count at the start of the slot
+    size_t bytes = 0;     // all of the slot
+    size_t payload_bytes = 0;
+  };
+
+  // A sub-buffer that the reader owns.
+  struct Chunk {
+    uint64_t begin_time = 0;
+    uint64_t lost = 0;  // records lost before this sub-buffer was begun
+    const std::byte* data = nullptr;
+    size_t size = 0;
+
+    // Calls visit(RecordHeader, payload) for each record in order.
+    template <class Visit>
+    void ForEach(Visit visit) const {
+      size_t at = 0;
+      while (at + sizeof(RecordHeader) <= size) {
+        RecordHeader header;
+        std::memcpy(&header, data + at, sizeof header);
+        if (header.size > size - at - sizeof header) return;
+        visit(header, data + at + sizeof header);
+        at += SlotBytes(header.size);
+      }
+    }
+  };
+
+  explicit Buffer(Options options)
+      : options_(options),
+        sbuf_(static_cast<Word>(options.subbuffer_bytes)),
+        buf_(static_cast<Word>(options.subbuffer_bytes * options.subbuffers)),
+        sbfbits_(Bits(options.subbuffer_bytes)),
+        bfbits_(Bits(options.subbuffer_bytes * options.subbuffers)),
+        write_count_(options.start),
+        read_count_(options.start),
+        commits_(options.subbuffers),
+        spare_(static_cast<uint32_t>(options.subbuffers)) {
+    for (size_t i = 0; i <= options.subbuffers; ++i) {
+      storages_.emplace_back(options.subbuffer_bytes / sizeof(uint64_t));
+    }
+    for (size_t i = 0; i < options.subbuffers; ++i) {
+      // Each sub-buffer stands as if all laps before `start` had been committed whole.
+      Word committed = static_cast<Word>(static_cast<Word>(options.start >> bfbits_) << sbfbits_);
+      commits_[i].count.store(committed, std::memory_order_relaxed);
+      commits_[i].sequence.store(committed, std::memory_order_relaxed);
+      commits_[i].reference.store(i, std::memory_order_relaxed);
+    }
+  }
+  Buffer(const Buffer&) = delete;
+  Buffer& operator=(const Buffer&) = delete;
+
+  static size_t SlotBytes(size_t payload) {
+    return (sizeof(RecordHeader) + payload + 7) & ~size_t{7};
+  }
+  size_t MaxPayload() const {
+    return options_.subbuffer_bytes - sizeof(Header) - sizeof(RecordHeader);
+  }
+
+  // RESERVE_SLOT. Lock-free: one compare-and-swap, tried again only if another reservation came
+  // between. Empty when the record is lost, which is counted.
+  std::optional<Slot> Reserve(size_t payload, uint32_t type) {
+    size_t bytes = SlotBytes(payload);
+    if (bytes + sizeof(Header) > options_.subbuffer_bytes) {
+      lost_.fetch_add(1, std::memory_order_relaxed);
+      return std::nullopt;
+    }
+    Word old, begin, next, pushed_for = 0;
+    uint64_t time;
+    bool opens;      // this slot is the first of its sub-buffer
+    size_t padding;  // left at the end of the sub-buffer that is given up
+    bool push;
+    old = write_count_.load(std::memory_order_acquire);
+    do {
+      // The time is read inside the loop: between it and the reservation no other one succeeded, so
+      // times rise in the order of the slots.
+      time = static_cast<uint64_t>(base::SteadyNanos());
+      Word offset = old & (sbuf_ - 1);
+      opens = push = false;
+      padding = 0;
+      begin = old;
+      if (offset == 0) {
+        opens = true;
+      } else if (offset + bytes > sbuf_) {
+        opens = true;
+        padding = static_cast<size_t>(sbuf_ - offset);
+        begin = old + static_cast<Word>(padding);
+      }
+      if (opens) {
+        if (!FullyCommitted(begin)) {
+          // A writer is still at work in the sub-buffer that would be written over.
+          lost_.fetch_add(1, std::memory_order_relaxed);
+          return std::nullopt;
+        }
+        if (Full(begin)) {
+          if (options_.mode == Mode::kDiscard) {
+            lost_.fetch_add(1, std::memory_order_relaxed);
+            return std::nullopt;
+          }
+          push = true;
+          pushed_for = begin;
+        }
+      }
+      next = begin + static_cast<Word>(opens ? sizeof(Header) + bytes : bytes);
+    } while (!write_count_.compare_exchange_weak(old, next, std::memory_order_acq_rel,
+                                                 std::memory_order_acquire));
+    if (push) PushReader(pushed_for);
+    uint64_t* storage = Reference(begin);
+    if (padding) EndSubbuffer(old, padding);
+    Word slot_begin = begin;
+    if (opens) {
+      Header* header = reinterpret_cast<Header*>(storage);
+      header->begin_time = time;
+      header->lost = lost_.load(std::memory_order_relaxed);
+      slot_begin += static_cast<Word>(sizeof(Header));
+    }
+    auto* bytes_at = reinterpret_cast<std::byte*>(storage) + (slot_begin & (sbuf_ - 1));
+    RecordHeader record{time, static_cast<uint32_t>(payload), type};
+    std::memcpy(bytes_at, &record, sizeof record);
+    // ENDSWITCH_CURRENT: this slot fills its sub-buffer to the last byte.
+    if ((next & (sbuf_ - 1)) == 0) reinterpret_cast<Header*>(storage)->used = options_.subbuffer_bytes;
+    if (opens) Commit(begin, sizeof(Header));
+    return Slot{bytes_at + sizeof record, slot_begin, bytes, payload};
+  }
+
+  // COMMIT_SLOT.
+  void Commit(const Slot& slot) { Commit(slot.begin, slot.bytes); }
+
+  // Reserve, copy, commit.
+  bool Record(uint32_t type, const void* payload, size_t size) {
+    auto slot = Reserve(size, type);
+    if (!slot) return false;
+    std::memcpy(slot->payload, payload, size);
+    Commit(*slot);
+    return true;
+  }
+
+  // FORCE_SWITCH: gives up what is left of the current sub-buffer, so that its records can be read.
+  // An empty one stays.
+  void ForceSwitch() {
+    Word old = write_count_.load(std::memory_order_acquire);
+    size_t padding;
+    do {
+      Word offset = old & (sbuf_ - 1);
+      if (offset == 0) return;
+      padding = static_cast<size_t>(sbuf_ - offset);
+    } while (!write_count_.compare_exchange_weak(old, old + static_cast<Word>(padding),
+                                                 std::memory_order_acq_rel,
+                                                 std::memory_order_acquire));
+    EndSubbuffer(old, padding);
+  }
+
+  // READ_GETSUBBUF: takes the oldest ready sub-buffer in exchange for the spare. The chunk is valid
+  // until the next call. One reader at a time.
+  std::optional<Chunk> Read() {
+    for (;;) {
+      Word read = read_count_.load(std::memory_order_acquire);
+      Commits& c = commits_[Index(read)];
+      Word sequence = c.sequence.load(std::memory_order_acquire);
+      Word write = write_count_.load(std::memory_order_acquire);
+      if ((write & ~(sbuf_ - 1)) == (read & ~(sbuf_ - 1))) return std::nullopt;  // (4)
+      if (!Ready(read, sequence)) return std::nullopt;                           // (2)
+      uint64_t reference = c.reference.load(std::memory_order_acquire);
+      uint64_t wanted = MakeReference(static_cast<uint32_t>(reference), Tag(read), false);
+      if (reference != wanted) {
+        // A writer has it again already: in flight recorder mode the reader was, or is just being,
+        // pushed on.
+        if (read_count_.load(std::memory_order_acquire) == read) return std::nullopt;
+        continue;
+      }
+      uint64_t exchanged = MakeReference(spare_, Tag(read), false);
+      if (!c.reference.compare_exchange_strong(reference, exchanged, std::memory_order_acq_rel)) {
+        continue;
+      }
+      spare_ = static_cast<uint32_t>(reference);
+      // Fails only if a writer pushed the reader meanwhile, and then it stands where it must.
+      read_count_.compare_exchange_strong(read, read + sbuf_, std::memory_order_acq_rel);
+      const auto* bytes = reinterpret_cast<const std::byte*>(storages_[spare_].data());
+      Header header;
+      std::memcpy(&header, bytes, sizeof header);
+      return Chunk{header.begin_time, header.lost, bytes + sizeof(Header),
+                   static_cast<size_t>(header.used) - sizeof(Header)};
+    }
+  }
+
+  // Whether there is something that the reader waits for and a writer has not committed: the oldest
+  // sub-buffer is closed but not whole.
+  bool Stalled() const {
+    Word read = read_count_.load(std::memory_order_acquire);
+    Word write = write_count_.load(std::memory_order_acquire);
+    if ((write & ~(sbuf_ - 1)) == (read & ~(sbuf_ - 1))) return false;
+    return !Ready(read, commits_[Index(read)].sequence.load(std::memory_order_acquire));
+  }
+  // Everything reserved is committed and read.
+  bool Drained() const {
+    Word read = read_count_.load(std::memory_order_acquire);
+    Word write = write_count_.load(std::memory_order_acquire);
+    return read == write;
+  }
+
+  uint64_t lost() const { return lost_.load(std::memory_order_relaxed); }
+  Word write_count() const { return write_count_.load(std::memory_order_relaxed); }
+  Word read_count() const { return read_count_.load(std::memory_order_relaxed); }
+
+ private:
+  struct Header {
+    uint64_t begin_time;
+    uint64_t lost;
+    uint64_t used;  // bytes up to the padding, this header included
+  };
+  struct Commits {
+    std::atomic<Word> count{0};
+    std::atomic<Word> sequence{0};
+    // storage index (low half), writer flag, and the production number as a tag
+    std::atomic<uint64_t> reference{0};
+  };
+
+  static int Bits(size_t n) {
+    int bits = 0;
+    while ((size_t{1} << bits) < n) ++bits;
+    return bits;
+  }
+  size_t Index(Word count) const { return static_cast<size_t>((count & (buf_ - 1)) >> sbfbits_); }
+  // The top bits of a per-sub-buffer count have no partner in a count of the whole buffer.
+  Word CommitMask() const {
+    return static_cast<Word>(static_cast<Word>(~Word{0}) >> (bfbits_ - sbfbits_));
+  }
+  Word Lap(Word count) const {
+    return static_cast<Word>(static_cast<Word>(count >> bfbits_) << sbfbits_) & CommitMask();
+  }
+  // (1), for the sub-buffer that begins at `begin`
+  bool Full(Word begin) const {
+    Word read = read_count_.load(std::memory_order_acquire) & ~(sbuf_ - 1);
+    return static_cast<Word>(begin - read) >= buf_;
+  }
+  // (2)
+  bool Ready(Word read, Word sequence) const {
+    return Lap(read) == (static_cast<Word>(sequence - sbuf_) & CommitMask());
+  }
+  // (3), for the sub-buffer that begins at `begin`
+  bool FullyCommitted(Word begin) const {
+    return Lap(begin) ==
+           (commits_[Index(begin)].sequence.load(std::memory_order_acquire) & CommitMask());
+  }
+
+  uint32_t Tag(Word count) const {
+    return static_cast<uint32_t>(count >> sbfbits_) & 0x7fffffffu;
+  }
+  static uint64_t MakeReference(uint32_t storage, uint32_t tag, bool writing) {
+    return storage | (writing ? uint64_t{1} << 32 : 0) | (uint64_t{tag} << 33);
+  }
+
+  // Sets the writer flag for the sub-buffer of `count`, so that the reader can't exchange it, and
+  // says where it is stored. Each writer does so for itself: the first one may be late.
+  uint64_t* Reference(Word count) {
+    std::atomic<uint64_t>& reference = commits_[Index(count)].reference;
+    uint32_t tag = Tag(count);
+    uint64_t have = reference.load(std::memory_order_acquire);
+    for (;;) {
+      uint32_t storage = static_cast<uint32_t>(have);
+      uint64_t wanted = MakeReference(storage, tag, true);
+      if (have == wanted ||
+          reference.compare_exchange_weak(have, wanted, std::memory_order_acq_rel,
+                                          std::memory_order_acquire)) {
+        return storages_[storage].data();
+      }
+    }
+  }
+
+  void PushReader(Word begin) {
+    Word target = static_cast<Word>(begin - buf_ + sbuf_);
+    Word read = read_count_.load(std::memory_order_acquire);
+    while (static_cast<Word>(begin - (read & ~(sbuf_ - 1))) >= buf_ &&
+           !read_count_.compare_exchange_weak(read, target, std::memory_order_acq_rel)) {
+    }
+  }
+
+  // SWITCH_OLDSUBBUF: the rest of the sub-buffer of `old` is padding.
+  void EndSubbuffer(Word old, size_t padding) {
+    uint64_t* storage = Reference(old);
+    reinterpret_cast<Header*>(storage)->used = static_cast<uint64_t>(old & (sbuf_ - 1));
+    Commit(old, padding);
+  }
+
+  void Commit(Word begin, size_t bytes) {
+    Commits& c = commits_[Index(begin)];
+    Word full = static_cast<Word>(Lap(begin) + sbuf_) & CommitMask();
+    // Release and acquire: the last one to commit sees what all others wrote before it tells.
+    Word count = c.count.fetch_add(static_cast<Word>(bytes), std::memory_order_acq_rel) +
+                 static_cast<Word>(bytes);
+    if ((count & CommitMask()) != full) return;
+    // The flag goes first: once the sequence is seen the reader may exchange the sub-buffer.
+    uint64_t have = c.reference.load(std::memory_order_acquire);
+    while (!c.reference.compare_exchange_weak(
+        have, MakeReference(static_cast<uint32_t>(have), Tag(begin), false),
+        std::memory_order_acq_rel, std::memory_order_acquire)) {
+    }
+    Word sequence = c.sequence.load(std::memory_order_relaxed);
+    while (static_cast<std::make_signed_t<Word>>(sequence - count) < 0 &&
+           !c.sequence.compare_exchange_weak(sequence, count, std::memory_order_acq_rel)) {
+    }
+  }
+
+  const Options options_;
+  const Word sbuf_;
+  const Word buf_;
+  const int sbfbits_;
+  const int bfbits_;
+  std::atomic<Word> write_count_;
+  std::atomic<Word> read_count_;
+  std::atomic<uint64_t> lost_{0};
+  std::vector<Commits> commits_;
+  std::vector<std::vector<uint64_t>> storages_;  // one more than sub-buffers: the reader's spare
+  uint32_t spare_;
+};
+
+}  // namespace elderkeel::telemetry
--- /dev/null
+++ b/src/telemetry/recorder.cc
@@ -0,0 +1,318 @@
+#include "telemetry/recorder.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "base/log.h"
+
+namespace elderkeel::telemetry {
+namespace {
+
+constexpr size_t kKeptBytes = 96 << 10;
+constexpr int64_t kClockStepNs = 50'000'000;
+constexpr int kStalledTurns = 2;
+
+Buffer<>::Options Shape(size_t bytes, Mode mode) {
+  Buffer<>::Options options;
+  options.subbuffers = 8;
+  options.subbuffer_bytes = std::max<size_t>(1024, bytes / options.subbuffers);
+  options.mode = mode;
+  return options;
+}
+
+void Add(std::string* line, const char* key, std::string_view value) {
+  line->push_back(' ');
+  line->append(key);
+  line->push_back('=');
+  base::AppendLogValue(line, value);
+}
+void Add(std::string* line, const char* key, int64_t value) {
+  Add(line, key, std::string_view(std::to_string(value)));
+}
+
+class StdoutSink : public Sink {
+ public:
+  bool Write(std::string_view text) override {
+    // A reader that stopped reading must not hold the exporter, whose buffers would then fill.
+    while (!text.empty()) {
+      pollfd wait{STDOUT_FILENO, POLLOUT, 0};
+      if (poll(&wait, 1, 50) != 1) return false;
+      size_t n = std::min<size_t>(text.size(), 4096);
+      ssize_t written = write(STDOUT_FILENO, text.data(), n);
+      if (written <= 0) return false;
+      text.remove_prefix(static_cast<size_t>(written));
+    }
+    return true;
+  }
+};
+
+class FileSink : public Sink {
+ public:
+  FileSink(std::string path, size_t limit) : path_(std::move(path)), limit_(limit) { Open(); }
+  ~FileSink() override {
+    if (fd_ >= 0) close(fd_);
+  }
+  bool Write(std::string_view text) override {
+    if (fd_ < 0) Open();
+    if (fd_ < 0) return false;
+    if (size_ + text.size() > limit_) {
+      close(fd_);
+      rename(path_.c_str(), (path_ + ".old").c_str());
+      Open();
+      if (fd_ < 0) return false;
+    }
+    ssize_t written = write(fd_, text.data(), text.size());
+    if (written != static_cast<ssize_t>(text.size())) {
+      close(fd_);
+      fd_ = -1;  // tried anew at the next export
+      return false;
+    }
+    size_ += text.size();
+    return true;
+  }
+
+ private:
+  void Open() {
+    fd_ = open(path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    off_t end = fd_ >= 0 ? lseek(fd_, 0, SEEK_END) : 0;
+    size_ = end > 0 ? static_cast<size_t>(end) : 0;
+  }
+  std::string path_;
+  size_t limit_;
+  int fd_ = -1;
+  size_t size_ = 0;
+};
+
+class CallSink : public Sink {
+ public:
+  explicit CallSink(std::function<bool(std::string)> take) : take_(std::move(take)) {}
+  bool Write(std::string_view text) override { return take_(std::string(text)); }
+
+ private:
+  std::function<bool(std::string)> take_;
+};
+
+const char* WhatName(ControlRecord::What what) {
+  switch (what) {
+    case ControlRecord::What::kVersion:
+      return "version.adopted";
+    case ControlRecord::What::kDraining:
+      return "server.draining";
+    case ControlRecord::What::kGone:
+      return "server.gone";
+    case ControlRecord::What::kProbe:
+      return "server.probed";
+    case ControlRecord::What::kHeldOut:
+      return "server.held_out";
+    case ControlRecord::What::kReturned:
+      return "server.returned";
+    case ControlRecord::What::kClock:
+      return "clock.stepped";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+const char* StepName(Step step) {
+  switch (step) {
+    case Step::kNone:
+      return "none";
+    case Step::kAdmission:
+      return "admission";
+    case Step::kWait:
+      return "wait";
+    case Step::kConnect:
+      return "connect";
+    case Step::kSend:
+      return "send";
+    case Step::kAnswer:
+      return "answer";
+    case Step::kDeadline:
+      return "deadline";
+    case Step::kClient:
+      return "client";
+  }
+  return "unknown";
+}
+
+void NameBook::Set(Kind kind, uint32_t index, const std::string& name) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  auto& names = names_[kind];
+  if (index >= names.size()) names.resize(index + 1);
+  names[index] = name;
+}
+
+std::string NameBook::Get(Kind kind, uint32_t index) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return index < names_[kind].size() ? names_[kind][index] : std::string("none");
+}
+
+Channel::Channel(Buffer<>::Options options)
+    : buffers_{std::make_unique<Buffer<>>(options), std::make_unique<Buffer<>>(options)},
+      current_(buffers_[0].get()) {}
+
+uint64_t Channel::lost() const { return buffers_[0]->lost() + buffers_[1]->lost(); }
+
+void Channel::Review() {
+  Buffer<>* used = current_.load(std::memory_order_acquire);
+  Buffer<>* other = used == buffers_[0].get() ? buffers_[1].get() : buffers_[0].get();
+  stalled_turns_ = used->Stalled() ? stalled_turns_ + 1 : 0;
+  if (stalled_turns_ >= kStalledTurns && !other->Stalled()) {
+    current_.store(other, std::memory_order_release);
+    stalled_turns_ = 0;
+  }
+}
+
+std::unique_ptr<Sink> MakeStdoutSink() { return std::make_unique<StdoutSink>(); }
+std::unique_ptr<Sink> MakeFileSink(const std::string& path, size_t limit) {
+  return std::make_unique<FileSink>(path, limit);
+}
+std::unique_ptr<Sink> MakeCallSink(std::function<bool(std::string)> take) {
+  return std::make_unique<CallSink>(std::move(take));
+}
+
+Recorder::Recorder(Options options, std::unique_ptr<Sink> sink)
+    : options_(options),
+      requests_(Shape(options.requests_bytes, Mode::kFlightRecorder)),
+      failures_(Shape(options.failures_bytes, Mode::kDiscard)),
+      control_(Shape(options.control_bytes, Mode::kDiscard)),
+      sink_(std::move(sink)),
+      clock_offset_(base::WallNanos() - base::SteadyNanos()),
+      thread_([this] { Run(); }) {}
+
+Recorder::~Recorder() {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    ending_ = true;
+  }
+  wake_.notify_one();
+  thread_.join();
+  Export();
+}
+
+void Recorder::Flush() { Export(); }
+
+Recorder::Counts Recorder::counts() const {
+  Counts counts;
+  counts.lost = failures_.lost() + control_.lost();
+  counts.unsent = unsent_.load(std::memory_order_relaxed);
+  counts.exported = exported_.load(std::memory_order_relaxed);
+  return counts;
+}
+
+void Recorder::TakeRequests(std::function<void(std::string)> done) {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    asked_.push_back(std::move(done));
+  }
+  wake_.notify_one();
+}
+
+void Recorder::Run() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!ending_) {
+    // The timer is what wakes the reader; writers never do.
+    wake_.wait_for(lock, std::chrono::milliseconds(options_.flush_ms),
+                   [this] { return ending_ || !asked_.empty(); });
+    std::vector<std::function<void(std::string)>> asked;
+    asked.swap(asked_);
+    lock.unlock();
+    Export();
+    if (!asked.empty()) {
+      {
+        std::lock_guard<std::mutex> one(export_mutex_);
+        requests_.Read([this](const Buffer<>::RecordHeader& h, const std::byte* payload) {
+          RequestRecord record;
+          std::memcpy(&record, payload, sizeof record);
+          Line(record, "request.done", h.time, &kept_);
+        });
+        if (kept_.size() > kKeptBytes) {
+          size_t cut = kept_.find('\n', kept_.size() - kKeptBytes);
+          kept_.erase(0, cut == std::string::npos ? 0 : cut + 1);
+        }
+      }
+      for (auto& done : asked) done(kept_);
+    }
+    lock.lock();
+  }
+}
+
+// The steady clock orders records; a step of the time of day is itself a record, so that lines of
+// several nodes can be set side by side.
+void Recorder::RecordClock() {
+  int64_t offset = base::WallNanos() - base::SteadyNanos();
+  if (std::abs(offset - clock_offset_) > kClockStepNs) {
+    ControlRecord record;
+    record.what = ControlRecord::What::kClock;
+    record.number = offset - clock_offset_;
+    control_.Write(record);
+  }
+  clock_offset_ = offset;
+}
+
+void Recorder::Export() {
+  std::lock_guard<std::mutex> one(export_mutex_);
+  RecordClock();
+  std::string text;
+  uint64_t lines = 0;
+  failures_.Read([&](const Buffer<>::RecordHeader& h, const std::byte* payload) {
+    RequestRecord record;
+    std::memcpy(&record, payload, sizeof record);
+    Line(record, "request.failed", h.time, &text);
+    ++lines;
+  });
+  control_.Read([&](const Buffer<>::RecordHeader& h, const std::byte* payload) {
+    ControlRecord record;
+    std::memcpy(&record, payload, sizeof record);
+    Line(record, h.time, &text);
+    ++lines;
+  });
+  uint64_t lost = failures_.lost() + control_.lost() + unsent_.load(std::memory_order_relaxed);
+  if (lost != lost_told_) {
+    text += "event=telemetry.lost";
+    Add(&text, "records", static_cast<int64_t>(lost));
+    text += "\n";
+    ++lines;
+  }
+  if (text.empty()) return;
+  if (sink_->Write(text)) {
+    lost_told_ = lost;
+    exported_.fetch_add(lines, std::memory_order_relaxed);
+  } else {
+    unsent_.fetch_add(lines, std::memory_order_relaxed);
+  }
+}
+
+void Recorder::Line(const RequestRecord& r, const char* event, uint64_t time,
+                    std::string* out) const {
+  out->append("event=").append(event);
+  Add(out, "at_us", static_cast<int64_t>(time / 1000));
+  Add(out, "attempt", std::string_view(r.attempt));
+  Add(out, "status", r.status);
+  Add(out, "step", StepName(r.step));
+  Add(out, "reason", std::string_view(r.reason));
+  Add(out, "route", names_.Get(NameBook::kRoute, r.route));
+  Add(out, "service", names_.Get(NameBook::kService, r.service));
+  Add(out, "server", names_.Get(NameBook::kServer, r.server));
+  Add(out, "sends", r.sends);
+  Add(out, "total_us", r.total_us);
+  Add(out, "waited_us", r.waited_us);
+  Add(out, "revision", r.revision);
+  out->push_back('\n');
+}
+
+void Recorder::Line(const ControlRecord& r, uint64_t time, std::string* out) const {
+  out->append("event=").append(WhatName(r.what));
+  Add(out, "at_us", static_cast<int64_t>(time / 1000));
+  if (r.server != UINT32_MAX) Add(out, "server", names_.Get(NameBook::kServer, r.server));
+  Add(out, "good", r.good);
+  Add(out, "number", r.number);
+  out->push_back('\n');
+}
+
+}  // namespace elderkeel::telemetry
--- /dev/null
+++ b/src/wire/frame.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <istream>
+#include <ostream>
+#include <optional>
+#include <streambuf>
+#include <string>
+#include <string_view>
+
+namespace elderkeel::wire {
+
+// The kinds of message that our own processes send each other. One byte on the wire.
+enum class Kind : uint8_t {
+  kConsensus = 1,
+  kJoin,
+  kMembers,
+  kHeartbeat,
+  kDigest,
+  kPull,
+  kConfigNews,
+  kCatalogNews,
+  kConfirm,
+  kConfirmReply,
+  kResign,
+  kQuery,
+  kQueryReply,
+};
+
+constexpr size_t kMaxFrame = 8u << 20;
+
+namespace internal {
+class StringSink : public std::streambuf {
+ public:
+  explicit StringSink(std::string* out) : out_(out) {}
+
+ protected:
+  std::streamsize xsputn(const char* bytes, std::streamsize n) override {
+    out_->append(bytes, static_cast<size_t>(n));
+    return n;
+  }
+  int overflow(int c) override {
+    out_->push_back(static_cast<char>(c));
+    return c;
+  }
+
+ private:
+  std::string* out_;
+};
+
+class ViewSource : public std::streambuf {
+ public:
+  explicit ViewSource(std::string_view in) {
+    char* begin = const_cast<char*>(in.data());
+    setg(begin, begin, begin + in.size());
+  }
+};
+}  // namespace internal
+
+template <class Message>
+std::string Encode(const Message& message) {
+  std::string out;
+  internal::StringSink sink(&out);
+  std::ostream stream(&sink);
+  cereal::BinaryOutputArchive archive(stream);
+  archive(message);
+  return out;
+}
+
+// cereal reports short or damaged input by an exception; it ends here.
+template <class Message>
+std::optional<Message> Decode(std::string_view bytes) {
+  try {
+    internal::ViewSource source(bytes);
+    std::istream stream(&source);
+    cereal::BinaryInputArchive archive(stream);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace elderkeel::wire
--- /dev/null
+++ b/src/wire/http_client.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "wire/http.h"
+#include "wire/socket.h"
+
+namespace elderkeel::wire {
+
+// One connection to a server, carrying one request at a time.
+class HttpConnection {
+ public:
+  enum class Ending {
+    kAnswer,   // a whole, self-delimited answer
+    kNotSent,  // failed before one byte of the request was handed to the kernel
+    kBroken,   // failed after that: the request may have arrived
+  };
+  struct Outcome {
+    Ending ending = Ending::kBroken;
+    Message answer;
+    std::string reason;
+  };
+  using Done = std::function<void(Outcome&&)>;
+
+  HttpConnection(base::Loop* loop, const base::Address& address, base::Millis connect_ms,
+                 const Limits& limits);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+
+  // Sends one request; `done` is called once, never from inside Send. Only when not busy.
+  void Send(std::string bytes, bool to_head, Done done);
+  // Called when the connection, while idle, is closed or can no longer be trusted.
+  void OnLost(std::function<void()> lost) { lost_ = std::move(lost); }
+
+  bool busy() const { return done_ != nullptr; }
+  bool connected() const { return connected_; }
+  // Idle, alive and clean right now, as far as the kernel knows.
+  bool Usable() const;
+  bool closed() const { return closed_; }
+  base::Millis idle_since() const { return idle_since_; }
+  // How long the server says it keeps an idle connection; 0 if it did not say.
+  base::Millis keep_alive_ms() const { return keep_alive_ms_; }
+  const base::Address& address() const { return address_; }
+
+ private:
+  void Finish(Ending ending, std::string reason);
+  void Close();
+  static void OnReadable(bufferevent*, void* self);
+  static void OnEvent(bufferevent*, short what, void* self);
+
+  base::Loop* loop_;
+  base::Address address_;
+  Limits limits_;
+  BuffereventPtr socket_;
+  base::Timer connect_timer_;
+  MessageReader reader_;
+  Done done_;
+  std::function<void()> lost_;
+  bool connected_ = false;
+  bool closed_ = false;
+  bool any_sent_ = false;
+  base::Millis idle_since_ = 0;
+  base::Millis keep_alive_ms_ = 0;
+};
+
+// One request on a connection of its own, with a time limit; for the platform and for the commands.
+class HttpCall {
+ public:
+  HttpCall(base::Loop* loop, const base::Address& address, base::Millis timeout_ms,
+           const Limits& limits);
+  void Start(std::string bytes, HttpConnection::Done done);
+
+ private:
+  base::Loop* loop_;
+  base::Millis timeout_ms_;
+  HttpConnection connection_;
+  base::Timer timer_;
+  HttpConnection::Done done_;
+};
+
+}  // namespace elderkeel::wire
--- /dev/null
+++ b/src/wire/http_server.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "wire/http.h"
+#include "wire/socket.h"
+
+namespace elderkeel::wire {
+
+// Serves one HTTP listener. Requests come whole; each is answered once through its ticket, now or
+// later. Pipelined requests wait their turn.
+class HttpServer {
+ public:
+  using Ticket = uint64_t;  // names a request that waits for its answer
+  struct Options {
+    std::function<Limits()> limits;         // asked anew for each message
+    size_t max_connections = 1000;
+    size_t max_buffered_bytes = 64u << 20;  // all bodies being read, together
+  };
+  using Handler = std::function<void(Ticket, Message&&)>;
+  // The client closed before the answer to this request was given.
+  using GoneHandler = std::function<void(Ticket)>;
+  // A request that was refused before it was whole: status and reason, for the record.
+  using RefusedHandler = std::function<void(int status, const char* reason)>;
+
+  HttpServer(base::Loop* loop, Options options, Handler handler);
+  ~HttpServer();
+
+  base::Result<bool> Listen(const base::Address& address);
+  void StopListening() { listener_.Close(); }
+  void OnGone(GoneHandler gone) { gone_ = std::move(gone); }
+  void OnRefused(RefusedHandler refused) { refused_ = std::move(refused); }
+
+  // False if the client is no longer there.
+  bool Answer(Ticket ticket, const Message& answer, bool close = false);
+  // For an answer that was begun and can't be completed: the client must see a broken connection.
+  void Reset(Ticket ticket);
+  // While leaving, every answer carries Connection: close, and idle connections are closed by
+  // CloseIdle().
+  void SetLeaving(bool leaving) { leaving_ = leaving; }
+  void CloseIdle();
+  // Connections with a request read, being read, or with answer bytes still to be sent.
+  size_t busy() const;
+  size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection;
+  void Accepted(int fd);
+  void Drop(Connection* c);
+  void Advance(Connection* c);
+  void Refuse(Connection* c, int status, const char* reason);
+  void WaitForRequest(Connection* c);
+  void Linger(Connection* c);
+  static void OnReadable(bufferevent*, void* arg);
+  static void OnWritten(bufferevent*, void* arg);
+  static void OnEvent(bufferevent*, short what, void* arg);
+
+  base::Loop* loop_;
+  Options options_;
+  Handler handler_;
+  GoneHandler gone_;
+  RefusedHandler refused_;
+  Listener listener_;
+  std::unordered_map<uint64_t, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<Ticket, Connection*> waiting_;
+  uint64_t next_id_ = 1;
+  Ticket next_ticket_ = 1;
+  size_t buffered_ = 0;
+  bool leaving_ = false;
+};
+
+}  // namespace elderkeel::wire
--- /dev/null
+++ b/src/wire/mesh.cc
@@ -0,0 +1,243 @@
+#include "wire/mesh.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "base/log.h"
+#include "base/random.h"
+
+namespace elderkeel::wire {
+namespace {
+
+constexpr int kUserTimeoutMs = 2000;
+constexpr base::Millis kConnectMs = 700;
+constexpr base::Millis kRetryMs = 150;
+constexpr base::Millis kIdleMs = 20000;
+constexpr size_t kMaxQueued = 8u << 20;
+constexpr size_t kMaxIncoming = 512;
+constexpr size_t kHeader = 9;  // length, check, kind
+constexpr size_t kMaxDatagram = 1400;
+
+void Put32(std::string* out, uint32_t n) {
+  for (int i = 0; i < 4; ++i) out->push_back(static_cast<char>(n >> (8 * i)));
+}
+uint32_t Get32(const unsigned char* in) {
+  return in[0] | in[1] << 8 | in[2] << 16 | static_cast<uint32_t>(in[3]) << 24;
+}
+uint32_t Check(Kind kind, std::string_view payload) {
+  return static_cast<uint32_t>(base::Hash(payload, static_cast<uint64_t>(kind)));
+}
+
+}  // namespace
+
+struct Mesh::Link {
+  BuffereventPtr socket;
+  bool connected = false;
+  base::Millis used = 0;
+  base::Millis retry_at = 0;
+  base::Timer connect_timer;
+
+  void Fail() {
+    connect_timer.Cancel();
+    if (socket) bufferevent_setcb(socket.get(), nullptr, nullptr, nullptr, nullptr);
+    socket.reset();
+    connected = false;
+    retry_at = base::SteadyMillis() + kRetryMs;
+  }
+};
+
+struct Mesh::Incoming {
+  Mesh* mesh;
+  uint64_t id;
+  BuffereventPtr socket;
+  base::Address from;  // port 0 until the peer has said which one it listens on
+};
+
+Mesh::Mesh(base::Loop* loop, const base::Address& self, Handler handler)
+    : loop_(loop), self_(self), handler_(std::move(handler)) {}
+
+Mesh::~Mesh() {
+  udp_event_.reset();
+  if (udp_ >= 0) close(udp_);
+}
+
+base::Result<bool> Mesh::Listen() {
+  auto opened = listener_.Open(loop_, self_, [this](int fd) { Accepted(fd); });
+  if (!opened) return opened;
+  udp_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(self_.port);
+  inet_pton(AF_INET, self_.ip.c_str(), &at.sin_addr);
+  if (udp_ < 0 || bind(udp_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) {
+    return base::Error{"listen.udp", self_.ToString(), std::strerror(errno)};
+  }
+  udp_event_.reset(event_new(
+      loop_->base(), udp_, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<Mesh*>(self)->ReadDatagrams(); }, this));
+  event_add(udp_event_.get(), nullptr);
+  idle_timer_.Repeat(loop_, kIdleMs / 4, [this] {
+    base::Millis now = base::SteadyMillis();
+    for (auto at = links_.begin(); at != links_.end();) {
+      at = now - at->second->used > kIdleMs ? links_.erase(at) : std::next(at);
+    }
+  });
+  return true;
+}
+
+void Mesh::ReadDatagrams() {
+  char bytes[2048];
+  for (int i = 0; i < 64; ++i) {
+    sockaddr_in from{};
+    socklen_t size = sizeof from;
+    ssize_t n = recvfrom(udp_, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&from), &size);
+    if (n < 5) {
+      if (n < 0) return;
+      continue;
+    }
+    Kind kind = static_cast<Kind>(bytes[4]);
+    std::string_view payload(bytes + 5, static_cast<size_t>(n) - 5);
+    if (Get32(reinterpret_cast<unsigned char*>(bytes)) != Check(kind, payload)) continue;
+    char text[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &from.sin_addr, text, sizeof text);
+    handler_({text, ntohs(from.sin_port)}, kind, payload);
+  }
+}
+
+bool Mesh::SendDatagram(const base::Address& to, Kind kind, std::string_view payload) {
+  if (payload.size() + 5 > kMaxDatagram || udp_ < 0) return false;
+  std::string bytes;
+  bytes.reserve(payload.size() + 5);
+  Put32(&bytes, Check(kind, payload));
+  bytes.push_back(static_cast<char>(kind));
+  bytes.append(payload);
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(to.port);
+  if (inet_pton(AF_INET, to.ip.c_str(), &at.sin_addr) != 1) return false;
+  return sendto(udp_, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&at), sizeof at) ==
+         static_cast<ssize_t>(bytes.size());
+}
+
+Mesh::Link* Mesh::OpenLink(const base::Address& to) {
+  std::unique_ptr<Link>& link = links_[to];
+  if (!link) link = std::make_unique<Link>();
+  base::Millis now = base::SteadyMillis();
+  link->used = now;
+  if (link->socket) return link.get();
+  if (now < link->retry_at) return nullptr;
+  int fd = StartConnect(to, kUserTimeoutMs);
+  if (fd < 0) {
+    link->Fail();
+    return nullptr;
+  }
+  Link* l = link.get();
+  l->socket.reset(bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE));
+  bufferevent_setcb(
+      l->socket.get(),
+      [](bufferevent* b, void*) {  // a link carries nothing back
+        evbuffer* in = bufferevent_get_input(b);
+        evbuffer_drain(in, evbuffer_get_length(in));
+      },
+      nullptr,
+      [](bufferevent*, short what, void* arg) {
+        auto* link = static_cast<Link*>(arg);
+        if (what & BEV_EVENT_CONNECTED) {
+          link->connected = true;
+          link->connect_timer.Cancel();
+        } else if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
+          link->Fail();
+        }
+      },
+      l);
+  bufferevent_socket_connect(l->socket.get(), nullptr, 0);
+  bufferevent_enable(l->socket.get(), EV_READ | EV_WRITE);
+  l->connect_timer.Start(loop_, kConnectMs, [l] { l->Fail(); });
+  char port[2] = {static_cast<char>(self_.port & 0xff), static_cast<char>(self_.port >> 8)};
+  bufferevent_write(l->socket.get(), port, sizeof port);
+  return l;
+}
+
+bool Mesh::Send(const base::Address& to, Kind kind, std::string_view payload) {
+  if (payload.size() > kMaxFrame) return false;
+  Link* link = OpenLink(to);
+  if (!link) return false;
+  evbuffer* out = bufferevent_get_output(link->socket.get());
+  if (evbuffer_get_length(out) + payload.size() > kMaxQueued) return false;
+  std::string header;
+  Put32(&header, static_cast<uint32_t>(payload.size()));
+  Put32(&header, Check(kind, payload));
+  header.push_back(static_cast<char>(kind));
+  evbuffer_add(out, header.data(), header.size());
+  evbuffer_add(out, payload.data(), payload.size());
+  return true;
+}
+
+void Mesh::Accepted(int fd) {
+  if (incoming_.size() >= kMaxIncoming) {
+    close(fd);
+    return;
+  }
+  TuneSocket(fd, kUserTimeoutMs);
+  int one = 1, idle = 5, gap = 2, count = 2;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &gap, sizeof gap);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+  auto incoming = std::make_unique<Incoming>();
+  Incoming* in = incoming.get();
+  in->mesh = this;
+  in->id = next_id_++;
+  in->from.ip = PeerOf(fd).ip;
+  in->socket.reset(bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE));
+  bufferevent_setcb(
+      in->socket.get(),
+      [](bufferevent*, void* arg) {
+        auto* in = static_cast<Incoming*>(arg);
+        if (!in->mesh->ReadFrames(in)) in->mesh->incoming_.erase(in->id);
+      },
+      nullptr,
+      [](bufferevent*, short what, void* arg) {
+        auto* in = static_cast<Incoming*>(arg);
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) in->mesh->incoming_.erase(in->id);
+      },
+      in);
+  bufferevent_enable(in->socket.get(), EV_READ);
+  incoming_.emplace(in->id, std::move(incoming));
+}
+
+// False when the connection carries something that is no frame.
+bool Mesh::ReadFrames(Incoming* in) {
+  evbuffer* buffer = bufferevent_get_input(in->socket.get());
+  if (in->from.port == 0) {
+    unsigned char port[2];
+    if (evbuffer_get_length(buffer) < 2) return true;
+    evbuffer_remove(buffer, port, 2);
+    in->from.port = static_cast<uint16_t>(port[0] | port[1] << 8);
+  }
+  for (;;) {
+    unsigned char header[kHeader];
+    if (evbuffer_copyout(buffer, header, kHeader) < static_cast<ssize_t>(kHeader)) return true;
+    size_t size = Get32(header);
+    if (size > kMaxFrame) return false;
+    if (evbuffer_get_length(buffer) < kHeader + size) return true;
+    evbuffer_drain(buffer, kHeader);
+    std::string payload(size, '\0');
+    evbuffer_remove(buffer, payload.data(), size);
+    Kind kind = static_cast<Kind>(header[8]);
+    if (Get32(header + 4) != Check(kind, payload)) {
+      base::Warn("frame.damaged", {{"peer", in->from.ToString()}});
+      return false;
+    }
+    handler_(in->from, kind, payload);
+  }
+}
+
+}  // namespace elderkeel::wire
--- /dev/null
+++ b/src/wire/mesh.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "wire/frame.h"
+#include "wire/socket.h"
+
+namespace elderkeel::wire {
+
+// Messages between our own processes: frames over TCP for what is large or must keep its order,
+// datagrams for what is small and may be lost. A process is known by the address that it listens on.
+// Nothing is kept for a peer that can't be reached; what must arrive is mended by the slices.
+class Mesh {
+ public:
+  using Handler = std::function<void(const base::Address& from, Kind kind, std::string_view payload)>;
+
+  Mesh(base::Loop* loop, const base::Address& self, Handler handler);
+  ~Mesh();
+
+  base::Result<bool> Listen();
+  // False if the frame was dropped: the peer can't be reached or does not read.
+  bool Send(const base::Address& to, Kind kind, std::string_view payload);
+  bool SendDatagram(const base::Address& to, Kind kind, std::string_view payload);
+
+  template <class Message>
+  bool Send(const base::Address& to, Kind kind, const Message& message) {
+    return Send(to, kind, std::string_view(Encode(message)));
+  }
+  template <class Message>
+  bool SendDatagram(const base::Address& to, Kind kind, const Message& message) {
+    return SendDatagram(to, kind, std::string_view(Encode(message)));
+  }
+
+ private:
+  struct Link;
+  struct Incoming;
+  void Accepted(int fd);
+  Link* OpenLink(const base::Address& to);
+  void ReadDatagrams();
+  bool ReadFrames(Incoming* in);
+
+  base::Loop* loop_;
+  base::Address self_;
+  Handler handler_;
+  Listener listener_;
+  int udp_ = -1;
+  base::EventPtr udp_event_;
+  base::Timer idle_timer_;
+  std::map<base::Address, std::unique_ptr<Link>> links_;
+  std::map<uint64_t, std::unique_ptr<Incoming>> incoming_;
+  uint64_t next_id_ = 1;
+};
+
+}  // namespace elderkeel::wire
