Let a holder's new life claim an epoch of its own

Cause: a holder that restarted went on numbering its news from 1 within the epoch it had held before, so nodes that had kept its earlier news took the new list for old, and sent to draining servers. Now the entry names the holder's life, and another life claims the next epoch first.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -16,6 +16,7 @@
 constexpr base::Millis kHolderPatienceMs = 1000;
 constexpr base::Millis kPlatformPatienceMs = 3000;
 constexpr base::Millis kResignGapMs = 5000;
+constexpr base::Millis kClaimEveryMs = 200;
 constexpr base::Millis kLeaveMs = 800;
 constexpr size_t kMaxControlBody = 16u << 20;
 
@@ -29,7 +30,8 @@
     : loop_(loop),
       settings_(std::move(settings)),
       settings_path_(std::move(settings_path)),
-      assignment_(kHolderPatienceMs) {}
+      assignment_(kHolderPatienceMs),
+      life_(base::SystemSeed() | 1) {}
 
 consensus::Replica::Options Controller::ReplicaOptions() const {
   consensus::Replica::Options options;
@@ -228,6 +230,7 @@
       assignment_.Clear();
       read_ok_at_ = base::SteadyMillis();
       poll_at_ = 0;
+      WatchPlatform(base::SteadyMillis());
       break;
     case ControlState::Effect::kNone:
       break;
@@ -294,6 +297,10 @@
   resignation.epoch = state_.duty.epoch;
   // The leader knows best who is heard; a holder that is not the leader leaves the choice to it.
   base::Info("duty.resigned", {{"epoch", resignation.epoch}, {"reason", why}});
+  TellLeader(now, resignation);
+}
+
+void Controller::TellLeader(base::Millis now, const duty::Resignation& resignation) {
   if (leading()) {
     if (auto named = assignment_.Resigned(now, state_.duty, Candidates(now), resignation)) {
       replica_->Propose(MakeCommand(Command::Kind::kDuty, *named));
@@ -305,6 +312,12 @@
 
 void Controller::WatchPlatform(base::Millis now) {
   if (!HoldsDuty() || leaving_) return;
+  if (state_.duty.life != life_) {
+    if (now - claimed_at_ < kClaimEveryMs) return;
+    claimed_at_ = now;
+    TellLeader(now, {state_.duty.epoch, replica_->self().id, life_});
+    return;
+  }
   if (watched_epoch_ != state_.duty.epoch) {
     watched_epoch_ = state_.duty.epoch;
     sequence_ = 0;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -56,7 +56,8 @@
   void WatchPlatform(base::Millis now);
   void Resign(base::Millis now, const char* why);
   std::vector<duty::Candidate> Candidates(base::Millis now) const;
-  bool HoldsDuty() const;
+  bool HoldsDuty() const;  // by the log; this life may still have to claim it
+  void TellLeader(base::Millis now, const duty::Resignation& resignation);
   std::string StatusJson() const;
   void Note(std::string what, std::string detail);
 
@@ -85,6 +86,8 @@
   base::Millis poll_at_ = 0;
   base::Millis read_ok_at_ = 0;    // when this holder last read the list
   base::Millis resigned_at_ = 0;
+  base::Millis claimed_at_ = 0;
+  const uint64_t life_;
   uint64_t watched_epoch_ = 0;
   uint64_t sequence_ = 0;
   std::vector<catalog::Server> servers_;
--- a/src/duty/duty.cc
+++ b/src/duty/duty.cc
@@ -18,14 +18,14 @@
 }
 
 std::optional<Duty> Assignment::Name(base::Millis now, const Duty& current,
-                                     consensus::MemberId holder) {
+                                     consensus::MemberId holder, uint64_t life) {
   if (holder == 0) return std::nullopt;
   if (proposed_epoch_ > current.epoch && now - proposed_at_ < kProposalPatience) {
     return std::nullopt;  // one is on its way through the log
   }
   proposed_epoch_ = current.epoch + 1;
   proposed_at_ = now;
-  return Duty{holder, current.epoch + 1};
+  return Duty{holder, life, current.epoch + 1};
 }
 
 std::optional<Duty> Assignment::Review(base::Millis now, const Duty& current,
@@ -40,6 +40,12 @@
                                          const std::vector<Candidate>& candidates,
                                          const Resignation& resignation) {
   if (resignation.epoch != current.epoch) return std::nullopt;  // from an earlier holder
+  if (resignation.life != 0) {
+    if (resignation.successor != current.holder || resignation.life == current.life) {
+      return std::nullopt;
+    }
+    return Name(now, current, current.holder, resignation.life);
+  }
   for (const Candidate& c : candidates) {
     if (c.id == resignation.successor && c.id != current.holder && c.silent_ms <= patience_) {
       return Name(now, current, c.id);
--- a/src/duty/duty.h
+++ b/src/duty/duty.h
@@ -10,23 +10,27 @@
 namespace elderkeel::duty {
 
 // Who watches the platform's list, as the log has it. The epoch rises at each change of holder, so
-// news of an earlier holder can be told from that of a later one.
+// news of an earlier holder can be told from that of a later one. A holder numbers its news within
+// its epoch from memory, so another life of the same holder needs an epoch of its own.
 struct Duty {
   consensus::MemberId holder = 0;
+  uint64_t life = 0;  // of the holder's process; another life must claim before it publishes
   uint64_t epoch = 0;
   template <class A>
   void serialize(A& a) {
-    a(holder, epoch);
+    a(holder, life, epoch);
   }
 };
 
-// A holder that leaves, or can't read the platform, names its successor to the leader.
+// To the leader: a holder that leaves, or can't read the platform, names its successor; a holder
+// that is another life of the one in the log claims the next epoch for itself.
 struct Resignation {
   uint64_t epoch = 0;
   consensus::MemberId successor = 0;  // 0: the leader picks
+  uint64_t life = 0;                  // a claim by the holder: its life
   template <class A>
   void serialize(A& a) {
-    a(epoch, successor);
+    a(epoch, successor, life);
   }
 };
 
@@ -51,7 +55,8 @@
   void Clear() { proposed_epoch_ = 0; }
 
  private:
-  std::optional<Duty> Name(base::Millis now, const Duty& current, consensus::MemberId holder);
+  std::optional<Duty> Name(base::Millis now, const Duty& current, consensus::MemberId holder,
+                           uint64_t life = 0);
 
   base::Millis patience_;
   uint64_t proposed_epoch_ = 0;
