Serve again at once after the loss of all processes

Cause: after a loss of all processes every proxy answered 503 for more than a second: no controller published anything before an election of 600 to 1200 ms, and the list came only with the holder. Ruled out: the time processes need to start (40 ms), the platform's answer (5 ms).

Now a member keeps an unsynced hint of what is committed, and publishes it when it opens its log; the first election of a life comes sooner (pre-votes disturb no leader); a zone's controller that knows of no list reads it once; and a node that has only just started names a longer Retry-After.

--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -58,6 +58,10 @@
   persisted_ = last_index();
   RefreshVoters();
   if (snapshot_.index > 0) out_.installed.push_back(snapshot_);
+  // What was known to be committed is so still, and can be used before there is a leader.
+  commit_ = std::max(commit_, std::min(restored.commit, last_index()));
+  commit_told_ = commit_;
+  ApplyCommitted();
   ResetElection(now);
 }
 
@@ -200,6 +204,13 @@
 }
 
 void Machine::ResetElection(base::Millis now) {
+  if (fresh_) {
+    // Nobody was heard yet, so there may be nobody to wait for; a pre-vote disturbs no leader.
+    election_at_ = now + timing_.first_election +
+                   static_cast<base::Millis>(
+                       random_.Below(static_cast<uint64_t>(timing_.first_election * 4)));
+    return;
+  }
   election_at_ = now + timing_.election +
                  static_cast<base::Millis>(random_.Below(static_cast<uint64_t>(timing_.election)));
 }
@@ -228,6 +239,10 @@
 void Machine::Tick(base::Millis now) {
   base::Millis gap = now - now_;
   now_ = now;
+  if (commit_ > commit_told_ && !broken_) {
+    commit_told_ = commit_;
+    Write().commit = commit_;
+  }
   if (leading()) {
     // Check-quorum: a leader that hears no majority, or slept, must not think that it still leads.
     size_t heard = 0;
@@ -306,6 +321,7 @@
 
 void Machine::BecomeLeader(base::Millis now) {
   role_ = Role::kLeader;
+  fresh_ = false;
   out_.role_changed = true;
   leader_id_ = self_.id;
   quorum_since_ = now;
@@ -545,11 +561,16 @@
   if (votes_.size() >= Majority()) BecomeLeader(now);
 }
 
-void Machine::OnAppend(base::Millis now, const Message& m, const base::Address& from) {
+void Machine::HeardLeader(base::Millis now, const Message& m, const base::Address& from) {
   if (role_ != Role::kFollower || leader_id_ != m.from) BecomeFollower(now, m.term, m.from);
+  fresh_ = false;
   leader_heard_ = now;
   leader_address_ = from;
   ResetElection(now);
+}
+
+void Machine::OnAppend(base::Millis now, const Message& m, const base::Address& from) {
+  HeardLeader(now, m, from);
   Message reply = Make(MessageType::kAppendReply, m.from);
   reply.round = m.round;
   bool fits = m.index < snapshot_.index || (m.index <= last_index() && TermAt(m.index) == m.log_term);
@@ -626,10 +647,7 @@
 
 void Machine::OnSnapshot(base::Millis now, const Message& m, const base::Address& from) {
   if (m.snapshot.empty()) return;
-  if (role_ != Role::kFollower || leader_id_ != m.from) BecomeFollower(now, m.term, m.from);
-  leader_heard_ = now;
-  leader_address_ = from;
-  ResetElection(now);
+  HeardLeader(now, m, from);
   const Snapshot& snapshot = m.snapshot[0];
   if (snapshot.index > commit_) {
     snapshot_ = snapshot;
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -18,6 +18,7 @@
 struct Timing {
   base::Millis heartbeat = 120;
   base::Millis election = 600;      // one to two times this
+  base::Millis first_election = 80;  // one to five times this, until a leader was heard once
   base::Millis replace_after = 2500;  // a silent voter gives way to a waiting replacement
   base::Millis disk_patience = 1500;  // a leader whose disk hangs so long gives up leadership
 };
@@ -135,6 +136,7 @@
   void ReviewVoters(base::Millis now);
   bool LiveMajorityWithout(base::Millis now, MemberId without) const;
 
+  void HeardLeader(base::Millis now, const Message& m, const base::Address& from);
   void OnPreVote(base::Millis now, const Message& m, const base::Address& from);
   void OnVote(base::Millis now, const Message& m, const base::Address& from);
   void OnVoteReply(base::Millis now, const Message& m);
@@ -160,12 +162,14 @@
   std::vector<Member> voters_;
   Index commit_ = 0;
   Index applied_ = 0;
+  Index commit_told_ = 0;  // to the store
   Index persisted_ = 0;  // of the log as it is now
   uint64_t write_sequence_ = 0;
   uint64_t written_ = 0;
   std::map<uint64_t, Index> write_last_;  // outstanding write -> last index it covers
   std::map<uint64_t, base::Millis> write_since_;
   bool broken_ = false;
+  bool fresh_ = true;  // no leader was heard in this life
 
   MemberId leader_id_ = 0;
   base::Address leader_address_;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -16,7 +16,9 @@
 }  // namespace
 
 Replica::Replica(base::Loop* loop, Options options, Hooks hooks)
-    : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)) {
+    : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)) {}
+
+void Replica::Start() {
   Open(true);
   tick_.Repeat(loop_, kTickMs, [this] {
     machine_->Tick(base::SteadyMillis());
@@ -123,6 +125,7 @@
     for (const Snapshot& snapshot : effects.installed) hooks_.install(snapshot);
     for (const Entry& entry : effects.committed) {
       if (entry.kind == EntryKind::kCommand) hooks_.apply(entry);
+      if (entry.index == machine_->commit()) hooks_.caught_up();
     }
     if (effects.role_changed) hooks_.role_changed();
     for (uint64_t token : effects.reads_failed) hooks_.read_done(token, false);
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -24,6 +24,7 @@
   struct Hooks {
     std::function<void(const base::Address&, const Message&)> send;
     std::function<void(const Entry&)> apply;
+    std::function<void()> caught_up;  // the last of the entries committed together was applied
     std::function<void(const Snapshot&)> install;
     std::function<std::string()> snapshot_state;
     std::function<void(uint64_t token, bool confirmed)> read_done;
@@ -32,6 +33,9 @@
 
   Replica(base::Loop* loop, Options options, Hooks hooks);
 
+  // Opens the store and begins; hooks are called from here on, not before.
+  void Start();
+
   void Receive(const Message& message, const base::Address& from);
   std::optional<Index> Propose(std::string command);
   bool Read(uint64_t token);
--- a/src/consensus/store.cc
+++ b/src/consensus/store.cc
@@ -78,6 +78,9 @@
     } else if (!status.IsNotFound()) {
       return base::Error{"store.load", "", status.ToString()};
     }
+    if (db_->Get(options, "commit", &value).ok()) {
+      if (auto commit = wire::Decode<Index>(value)) restored.commit = *commit;
+    }
     std::unique_ptr<leveldb::Iterator> at(db_->NewIterator(options));
     for (at->Seek("e"); at->Valid() && at->key().starts_with("e"); at->Next()) {
       auto entry = wire::Decode<Entry>(std::string_view(at->value().data(), at->value().size()));
@@ -101,8 +104,10 @@
     if (write.drop_to > 0) Drop(&batch, 0, write.drop_to);
     if (write.truncate_from > 0) Drop(&batch, write.truncate_from, UINT64_MAX);
     for (const Entry& entry : write.entries) batch.Put(EntryKey(entry.index), wire::Encode(entry));
+    if (write.commit > 0) batch.Put("commit", wire::Encode(write.commit));
     leveldb::WriteOptions options;
-    options.sync = true;
+    options.sync = write.hard_changed || !write.snapshot.empty() || !write.entries.empty() ||
+                   write.truncate_from > 0;
     leveldb::Status status = db_->Write(options, &batch);
     if (!status.ok()) return base::Error{"store.write", "", status.ToString()};
     return true;
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -102,6 +102,7 @@
   uint64_t sequence = 0;
   bool hard_changed = false;
   HardState hard;
+  Index commit = 0;  // a hint, not synced: what is known to be committed stays so; 0 for none
   Index truncate_from = 0;  // removes this entry and all after it; 0 for none
   std::vector<Entry> entries;
   std::vector<Snapshot> snapshot;  // none or one; entries up to `drop_to` go with it
@@ -112,6 +113,7 @@
 struct Restored {
   bool empty = true;
   HardState hard;
+  Index commit = 0;
   Snapshot snapshot;
   std::vector<Entry> entries;
 };
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -79,6 +79,9 @@
     fleet_->mesh().Send(to, wire::Kind::kConsensus, message);
   };
   log.apply = [this](const consensus::Entry& entry) { Applied(entry); };
+  log.caught_up = [this] {
+    if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
+  };
   log.install = [this](const consensus::Snapshot& snapshot) {
     ControlState state;
     if (!snapshot.state.empty()) {
@@ -107,6 +110,7 @@
       });
   platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
   replica_ = std::make_unique<consensus::Replica>(loop_, ReplicaOptions(), std::move(log));
+  replica_->Start();
   auto started = fleet_->Start();
   if (!started) return started;
   auto listening = control_->Listen(settings_.control);
@@ -220,7 +224,6 @@
                                              {"index", entry.index},
                                              {"term", entry.term}});
       Note("configuration.committed", std::to_string(state_.configuration.revision()));
-      fleet_->Commit(state_.configuration);
       break;
     case ControlState::Effect::kDuty:
       base::Info("duty.named", {{"holder", state_.duty.holder},
@@ -239,7 +242,6 @@
 }
 
 void Controller::RoleChanged() {
-  if (!replica_) return;  // still opening
   const consensus::Machine& m = replica_->machine();
   auto leader = m.leader();
   base::Info("role.changed", {{"role", consensus::RoleName(m.role())},
@@ -311,7 +313,23 @@
 }
 
 void Controller::WatchPlatform(base::Millis now) {
-  if (!HoldsDuty() || leaving_) return;
+  if (leaving_ || platform_->busy()) return;
+  if (!fleet_->news().has_catalog() && now >= poll_at_) {
+    // Nobody has told this node of any list, as after a loss of the whole fleet. Its zone need not
+    // wait for a holder: a reading without an epoch gives way to the first one that has one.
+    poll_at_ = now + settings_.poll_ms;
+    platform_->Read([this](base::Result<std::vector<catalog::Server>> read) {
+      if (!read) {
+        base::Warn("catalog.unread", read.error());
+      } else if (!fleet_->news().has_catalog()) {
+        base::Info("catalog.first_reading", {{"servers", read->size()}});
+        fleet_->Publish({0, 1, std::move(*read)});
+      }
+      poll_at_ = 0;
+    });
+    return;
+  }
+  if (!HoldsDuty()) return;
   if (state_.duty.life != life_) {
     if (now - claimed_at_ < kClaimEveryMs) return;
     claimed_at_ = now;
@@ -327,7 +345,7 @@
       replica_->machine().voters().size() > 1) {
     Resign(now, "the platform can't be read");
   }
-  if (now < poll_at_ || platform_->busy()) return;
+  if (now < poll_at_) return;
   poll_at_ = now + settings_.poll_ms;
   platform_->Read([this](base::Result<std::vector<catalog::Server>> read) {
     if (!read) {
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -27,6 +27,7 @@
 constexpr const char* kSeal = "Elderkeel-Server-Seal";
 constexpr const char* kNotExecuted = "Elderkeel-Not-Executed";
 constexpr const char* kRetryAfter = "0.1";
+constexpr const char* kStartRetryAfter = "0.4";  // for a node that has only just started
 
 budget::Budget::Bounds BudgetBounds(const base::Settings& settings) {
   budget::Budget::Bounds bounds;
@@ -136,7 +137,7 @@
 
 void Front::Reject(Ticket ticket, int status, const char* reason, const std::string& attempt) {
   Message answer = wire::OwnAnswer(status, reason);
-  if (status == 503) answer.headers.push_back({"Retry-After", kRetryAfter});
+  if (status == 503) answer.headers.push_back({"Retry-After", able() ? kRetryAfter : kStartRetryAfter});
   telemetry::RequestRecord record;
   record.SetAttempt(attempt);
   record.SetReason(reason);
--- a/src/news/exchange.cc
+++ b/src/news/exchange.cc
@@ -165,7 +165,11 @@
   catalog_ = std::move(catalog);
   read_at_ = now;
   out_.catalog_adopted = true;
-  Pass(now, false, true);
+  Pass(now, false, catalog_.epoch > 0);
+  if (catalog_.epoch > 0) return;
+  for (const ring::Node* node : members_->Others()) {
+    if (node->zone == members_->self().zone) SendCatalog(now, node->address());
+  }
 }
 
 void Exchange::Confirm(base::Millis now) { read_at_ = now; }
--- a/src/news/exchange.h
+++ b/src/news/exchange.h
@@ -93,6 +93,7 @@
   // From the log, committed; only controllers call this.
   void Commit(base::Millis now, const configuration::Register& state);
   // From this node's own reading of the platform, as the holder of the duty.
+  // Epoch 0 is a reading that no holder vouches for; it stays in the zone.
   void Publish(base::Millis now, catalog::Catalog catalog);
   // The holder read the list and found it unchanged.
   void Confirm(base::Millis now);
--- a/src/news/fleet.cc
+++ b/src/news/fleet.cc
@@ -140,7 +140,7 @@
   for (;;) {
     ring::Membership::Effects ring = members_.Take();
     for (const ring::Node& node : ring.changed) {
-      base::Info("node.changed", {{"node", node.address().ToString()},
+      base::Debug("node.changed", {{"node", node.address().ToString()},
                                   {"state", ring::StateName(node.state)},
                                   {"incarnation", node.incarnation}});
       if (node.state == ring::State::kAlive) exchange_.OnHeard(now, node);
