--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -18,6 +18,8 @@
 constexpr base::Millis kResignGapMs = 5000;
 constexpr base::Millis kClaimEveryMs = 200;
 constexpr base::Millis kLeaveMs = 800;
+constexpr size_t kMaxInquiries = 16;
+constexpr base::Millis kInquiryMs = 1500;
 constexpr size_t kMaxControlBody = 16u << 20;
 
 consensus::MemberId FounderId(const base::Address& address) {
@@ -143,11 +145,15 @@
   if (configuration::OperatorApi::Owns(request.Path())) {
     operator_->OnRequest(now, ticket, request);
   } else if (request.Path() == "/elderkeel/status") {
-    wire::Message answer;
-    answer.status = request.method == "GET" ? 200 : 405;
-    answer.headers.push_back({"Content-Type", "application/json"});
-    if (answer.status == 200) answer.body = StatusJson();
-    control_->Answer(ticket, answer);
+    if (request.method == "GET") {
+      Ask(ticket, {diagnosis::Question::About::kNode, ""});
+    } else {
+      control_->Answer(ticket, wire::OwnAnswer(405, "GET only"));
+    }
+  } else if (request.Path() == "/elderkeel/diagnose") {
+    size_t query = request.target.find('?');
+    Diagnose(ticket,
+             query == std::string::npos ? "" : std::string_view(request.target).substr(query + 1));
   } else {
     control_->Answer(ticket, wire::OwnAnswer(404, "no such path"));
   }
@@ -173,6 +179,12 @@
     case wire::Kind::kConfirm:
       if (auto m = wire::Decode<news::Confirm>(payload)) OnConfirm(from, *m);
       break;
+    case wire::Kind::kQueryReply:
+      if (auto m = wire::Decode<diagnosis::Reply>(payload)) {
+        for (Asking& asking : inquiries_) asking.inquiry.Take(from.ToString(), *m);
+        FinishInquiries(now);
+      }
+      break;
     case wire::Kind::kResign: {
       auto m = wire::Decode<duty::Resignation>(payload);
       if (!m || !leading()) break;
@@ -268,6 +280,7 @@
 void Controller::Tick() {
   base::Millis now = base::SteadyMillis();
   operator_->Tick(now);
+  FinishInquiries(now);
   SeekMembership(now);
   if (leading() && !leaving_) ReviewDuty(now);
   WatchPlatform(now);
@@ -386,7 +399,53 @@
   });
 }
 
-std::string Controller::StatusJson() const {
+// Asks every proxy in sight for its records. It needs no majority: whoever does not answer is
+// named.
+void Controller::Diagnose(wire::HttpServer::Ticket ticket, std::string_view query) {
+  auto question = diagnosis::Question::Parse(query);
+  if (!question) {
+    control_->Answer(ticket, wire::OwnAnswer(400, question.error().reason));
+    return;
+  }
+  Ask(ticket, *question);
+}
+
+void Controller::Ask(wire::HttpServer::Ticket ticket, const diagnosis::Question& question) {
+  if (inquiries_.size() >= kMaxInquiries) {
+    control_->Answer(ticket, wire::OwnAnswer(503, "too many questions at once"));
+    return;
+  }
+  diagnosis::Query ask{next_token_++, question.about, question.value};
+  std::vector<std::string> asked;
+  for (const auto& [id, node] : fleet_->members().nodes()) {
+    // The dead are asked too: a suspicion may be wrong, and if they are silent the answer says so.
+    if (node.program != ring::Program::kProxy || node.state == ring::State::kLeft) continue;
+    asked.push_back(node.address().ToString());
+    fleet_->mesh().Send(node.address(), wire::Kind::kQuery, ask);
+  }
+  inquiries_.push_back({ticket, diagnosis::Inquiry(ask.nonce, question, std::move(asked),
+                                                   base::SteadyMillis() + kInquiryMs)});
+  FinishInquiries(base::SteadyMillis());
+}
+
+void Controller::FinishInquiries(base::Millis now) {
+  for (size_t i = 0; i < inquiries_.size();) {
+    if (!inquiries_[i].inquiry.Done(now)) {
+      ++i;
+      continue;
+    }
+    wire::Message answer;
+    answer.status = 200;
+    answer.headers.push_back({"Content-Type", "application/json"});
+    const diagnosis::Inquiry& inquiry = inquiries_[i].inquiry;
+    answer.body = inquiry.about() == diagnosis::Question::About::kNode ? StatusJson(inquiry)
+                                                                       : inquiry.Report();
+    control_->Answer(inquiries_[i].ticket, answer);
+    inquiries_.erase(inquiries_.begin() + static_cast<long>(i));
+  }
+}
+
+std::string Controller::StatusJson(const diagnosis::Inquiry& nodes) const {
   base::Millis now = base::SteadyMillis();
   const consensus::Machine& m = replica_->machine();
   rapidjson::StringBuffer buffer;
@@ -457,6 +516,14 @@
     text("program", node.program == ring::Program::kProxy ? "proxy" : "controller");
     text("zone", node.zone);
     text("state", ring::StateName(node.state));
+    if (node.program == ring::Program::kProxy) {
+      const diagnosis::Reply* reply = nodes.Of(node.address().ToString());
+      // What a silent node serves by is not known, whatever was heard before.
+      std::string line = reply && !reply->lines.empty() ? reply->lines[0] : "";
+      text("revision", line.empty() ? "unknown" : diagnosis::ValueOf(line, "revision"));
+      text("ready", line.empty() ? "unknown" : diagnosis::ValueOf(line, "ready"));
+      text("state-line", line);
+    }
     w.EndObject();
   }
   w.EndArray();
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -9,6 +9,7 @@
 #include "configuration/operator_api.h"
 #include "consensus/replica.h"
 #include "controller/control_state.h"
+#include "diagnosis/diagnosis.h"
 #include "duty/duty.h"
 #include "news/confirm.h"
 #include "news/fleet.h"
@@ -58,7 +59,10 @@
   std::vector<duty::Candidate> Candidates(base::Millis now) const;
   bool HoldsDuty() const;  // by the log; this life may still have to claim it
   void TellLeader(base::Millis now, const duty::Resignation& resignation);
-  std::string StatusJson() const;
+  void Diagnose(wire::HttpServer::Ticket ticket, std::string_view query);
+  void FinishInquiries(base::Millis now);
+  void Ask(wire::HttpServer::Ticket ticket, const diagnosis::Question& question);
+  std::string StatusJson(const diagnosis::Inquiry& nodes) const;
   void Note(std::string what, std::string detail);
 
   base::Loop* loop_;
@@ -82,6 +86,11 @@
   };
   std::map<uint64_t, Asked> confirms_;  // by read token
   uint64_t next_token_ = 1;
+  struct Asking {
+    wire::HttpServer::Ticket ticket;
+    diagnosis::Inquiry inquiry;
+  };
+  std::vector<Asking> inquiries_;
   base::Millis join_at_ = 0;
   base::Millis poll_at_ = 0;
   base::Millis read_ok_at_ = 0;  // when this holder last read the list
--- a/src/controller/main.cc
+++ b/src/controller/main.cc
@@ -5,6 +5,7 @@
 #include "base/settings.h"
 #include "configuration/document.h"
 #include "controller/controller.h"
+#include "diagnosis/console.h"
 
 namespace {
 
@@ -65,10 +66,34 @@
   CLI::App* run = app.add_subcommand("run", "Run a controller");
   run->add_option("--settings", settings, "Settings file (or ELDERKEEL_SETTINGS)");
   CLI::App* check = app.add_subcommand("check", "Check a settings file or a configuration");
-  auto* check_settings = check->add_option("--settings", settings, "Settings file to check");
+  check->add_option("--settings", settings, "Settings file to check");
   auto* check_configuration =
       check->add_option("--configuration", configuration, "Configuration (JSON) to check");
 
+  std::string control;
+  bool json = false;
+  std::string attempt, server, revision;
+  auto asks = [&](CLI::App* verb) {
+    verb->add_option(
+        "--control", control,
+        "Address and port of a controller (default: listeners.control of the settings)");
+    verb->add_option("--settings", settings, "Settings file to take the address from");
+    verb->add_flag("--json", json, "Show the answer as JSON");
+  };
+  CLI::App* status = app.add_subcommand("status", "Show the fleet as a controller sees it");
+  asks(status);
+  CLI::App* diagnose =
+      app.add_subcommand("diagnose", "Ask the records of all proxies what happened");
+  asks(diagnose);
+  auto* about = diagnose->add_option_group("about");
+  about->add_option("--attempt", attempt, "A request, by its attempt id");
+  about->add_option("--server", server, "A server, by its id");
+  about->add_option("--revision", revision, "A version of the configuration");
+  about->require_option(1);
+  app.footer(
+      "Exit codes: 0 well; 1 answered, but degraded or incomplete; 2 wrong use or invalid file;\n"
+      "3 no controller answered.");
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -76,7 +101,29 @@
     return code == 0 ? 0 : 2;
   }
   if (run->parsed()) return Run(settings);
+  if (status->parsed() || diagnose->parsed()) {
+    base::Result<base::Address> address = base::Error{};
+    if (!control.empty()) {
+      address = base::ParseAddress(control);
+    } else {
+      auto loaded = base::LoadSettings(settings);
+      if (loaded) {
+        address = loaded->control;
+      } else {
+        address = loaded.error();
+      }
+    }
+    if (!address) {
+      std::cerr << "no controller to ask: " << address.error().reason << "\n";
+      return diagnosis::kUsage;
+    }
+    if (status->parsed()) return diagnosis::ShowStatus(*address, json);
+    return diagnosis::ShowDiagnosis(*address,
+                                    !attempt.empty()  ? "attempt=" + attempt
+                                    : !server.empty() ? "server=" + server
+                                                      : "revision=" + revision,
+                                    json);
+  }
   if (check_configuration->count()) return CheckConfiguration(configuration);
-  (void)check_settings;
   return CheckSettings(settings);
 }
--- /dev/null
+++ b/src/diagnosis/diagnosis.cc
@@ -0,0 +1,206 @@
+#include "diagnosis/diagnosis.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <ctime>
+#include <set>
+
+namespace elderkeel::diagnosis {
+namespace {
+
+constexpr size_t kMaxLines = 400;
+
+struct Found {
+  int64_t wall_us;
+  std::string node;
+  std::string line;
+};
+
+std::string TimeOfDay(int64_t us) {
+  time_t seconds = us / 1000000;
+  tm parts;
+  gmtime_r(&seconds, &parts);
+  char text[40];
+  size_t n = strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+  snprintf(text + n, sizeof text - n, ".%06dZ", static_cast<int>(us % 1000000));
+  return text;
+}
+
+// What the records say, in a sentence. Only what stands in them.
+std::string Conclude(const Question& question, const std::vector<Found>& found) {
+  if (found.empty()) return "no record of it";
+  switch (question.about) {
+    case Question::About::kAttempt: {
+      const std::string& line = found.back().line;
+      std::string status = ValueOf(line, "status"), sends = ValueOf(line, "sends");
+      std::string text =
+          found.back().node + (status == "0" ? " gave no answer" : " answered " + status);
+      text += " after " + sends + (sends == "1" ? " send" : " sends");
+      if (ValueOf(line, "server") != "none") text += ", the last to " + ValueOf(line, "server");
+      std::string reason = ValueOf(line, "reason");
+      if (!reason.empty()) text += "; decided at step " + ValueOf(line, "step") + ": " + reason;
+      return text;
+    }
+    case Question::About::kServer: {
+      size_t requests = 0, failed = 0;
+      std::set<std::string> nodes;
+      for (const Found& f : found) {
+        std::string event = ValueOf(f.line, "event");
+        if (event.rfind("request.", 0) != 0) continue;
+        ++requests;
+        std::string status = ValueOf(f.line, "status");
+        if (status.empty() || status[0] != '2') {
+          ++failed;
+          nodes.insert(f.node);
+        }
+      }
+      return std::to_string(requests) + " requests ended there, " + std::to_string(failed) +
+             " of them without success, seen by " + std::to_string(nodes.size()) + " nodes";
+    }
+    case Question::About::kRevision: {
+      std::set<std::string> adopted;
+      size_t requests = 0;
+      for (const Found& f : found) {
+        if (ValueOf(f.line, "event") == "version.adopted") {
+          adopted.insert(f.node);
+        } else {
+          ++requests;
+        }
+      }
+      return std::to_string(adopted.size()) + " nodes recorded its adoption, " +
+             std::to_string(requests) + " requests were handled by it";
+    }
+    case Question::About::kNode:
+      break;
+  }
+  return "";
+}
+
+}  // namespace
+
+std::string ValueOf(std::string_view line, std::string_view key) {
+  std::string wanted = std::string(key) + "=";
+  size_t at = 0;
+  while (at < line.size()) {
+    // A value may be quoted and hold spaces; keys never do.
+    size_t equals = line.find('=', at);
+    if (equals == std::string_view::npos) return "";
+    bool ours = line.substr(at, equals + 1 - at) == wanted;
+    std::string value;
+    size_t i = equals + 1;
+    if (i < line.size() && line[i] == '"') {
+      for (++i; i < line.size() && line[i] != '"'; ++i) {
+        if (line[i] == '\\' && i + 1 < line.size()) ++i;
+        value.push_back(line[i]);
+      }
+      ++i;
+    } else {
+      while (i < line.size() && line[i] != ' ') value.push_back(line[i++]);
+    }
+    if (ours) return value;
+    at = i + 1;
+  }
+  return "";
+}
+
+base::Result<Question> Question::Parse(std::string_view query) {
+  size_t equals = query.find('=');
+  std::string_view key = query.substr(0, equals);
+  Question question;
+  if (equals != std::string_view::npos) question.value = std::string(query.substr(equals + 1));
+  if (key == "attempt") {
+    question.about = About::kAttempt;
+  } else if (key == "server") {
+    question.about = About::kServer;
+  } else if (key == "revision") {
+    question.about = About::kRevision;
+  } else {
+    return base::Error{"diagnose", "", "ask by attempt, server or revision"};
+  }
+  bool plain = !question.value.empty() && question.value.size() <= 64 &&
+               std::all_of(question.value.begin(), question.value.end(), [](unsigned char c) {
+                 return c > 0x20 && c < 0x7f && c != '&' && c != '%';
+               });
+  if (!plain) return base::Error{"diagnose", "", "the value is empty, too long or not plain"};
+  return question;
+}
+
+bool Question::Matches(std::string_view line) const {
+  switch (about) {
+    case About::kAttempt:
+      return ValueOf(line, "attempt") == value;
+    case About::kServer:
+      return ValueOf(line, "server") == value;
+    case About::kRevision:
+      return ValueOf(line, "revision") == value ||
+             (ValueOf(line, "event") == "version.adopted" && ValueOf(line, "number") == value);
+    case About::kNode:
+      return true;
+  }
+  return false;
+}
+
+Reply Select(const Question& question, std::string_view text) {
+  Reply reply;
+  while (!text.empty()) {
+    size_t end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    if (question.Matches(line)) reply.lines.emplace_back(line);
+    if (end == std::string_view::npos) break;
+    text.remove_prefix(end + 1);
+  }
+  if (reply.lines.size() > kMaxLines) {
+    reply.cut = true;
+    reply.lines.erase(reply.lines.begin(), reply.lines.end() - kMaxLines);
+  }
+  return reply;
+}
+
+std::string Inquiry::Report() const {
+  std::vector<Found> found;
+  bool cut = false;
+  for (const auto& [from, reply] : replies_) {
+    cut |= reply.cut;
+    for (const std::string& line : reply.lines) {
+      int64_t at = std::atoll(ValueOf(line, "at_us").c_str());
+      found.push_back({reply.wall_us + at, reply.node, line});
+    }
+  }
+  std::sort(found.begin(), found.end(),
+            [](const Found& a, const Found& b) { return a.wall_us < b.wall_us; });
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+  w.StartObject();
+  w.Key("conclusion");
+  w.String(Conclude(question_, found).c_str());
+  w.Key("asked");
+  w.Uint64(asked_.size());
+  w.Key("silent");
+  w.StartArray();
+  for (const std::string& address : asked_) {
+    if (!replies_.count(address)) w.String(address.c_str());
+  }
+  w.EndArray();
+  w.Key("cut");
+  w.Bool(cut);
+  w.Key("records");
+  w.StartArray();
+  for (const Found& f : found) {
+    w.StartObject();
+    w.Key("time");
+    w.String(TimeOfDay(f.wall_us).c_str());
+    w.Key("node");
+    w.String(f.node.c_str());
+    w.Key("record");
+    w.String(f.line.c_str());
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return std::string(buffer.GetString(), buffer.GetSize());
+}
+
+}  // namespace elderkeel::diagnosis
--- /dev/null
+++ b/src/diagnosis/diagnosis.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+
+namespace elderkeel::diagnosis {
+
+// What is asked of the fleet's records: about a request, a server, or a version; or of each node,
+// how it is (kNode: one line of its state instead of records).
+struct Question {
+  enum class About : uint8_t { kAttempt, kServer, kRevision, kNode };
+  About about = About::kAttempt;
+  std::string value;
+
+  // From the query of a call: attempt=..., server=... or revision=...
+  static base::Result<Question> Parse(std::string_view query);
+  bool Matches(std::string_view line) const;
+};
+
+struct Query {
+  uint64_t nonce = 0;
+  Question::About about = Question::About::kAttempt;
+  std::string value;
+  template <class A>
+  void serialize(A& a) {
+    a(nonce, about, value);
+  }
+};
+
+// A node's records on the matter. `wall_us`: the node's time of day when its steady clock was 0, so
+// that records of several nodes can be set side by side, as well as their clocks agree.
+struct Reply {
+  uint64_t nonce = 0;
+  std::string node;
+  int64_t wall_us = 0;
+  bool cut = false;  // there was more than a reply holds
+  std::vector<std::string> lines;
+  template <class A>
+  void serialize(A& a) {
+    a(nonce, node, wall_us, cut, lines);
+  }
+};
+
+// The lines of `text` that the question is about, the newest of them if they are many.
+Reply Select(const Question& question, std::string_view text);
+
+// The value of `key` in a line of key=value pairs; empty if it is not there.
+std::string ValueOf(std::string_view line, std::string_view key);
+
+// One question under way: whom it was asked, and who has answered. Pure.
+class Inquiry {
+ public:
+  Inquiry(uint64_t nonce, Question question, std::vector<std::string> asked, base::Millis deadline)
+      : nonce_(nonce),
+        question_(std::move(question)),
+        asked_(std::move(asked)),
+        deadline_(deadline) {}
+
+  void Take(const std::string& from, Reply reply) {
+    if (reply.nonce == nonce_) replies_[from] = std::move(reply);
+  }
+  bool Done(base::Millis now) const { return now >= deadline_ || replies_.size() >= asked_.size(); }
+  uint64_t nonce() const { return nonce_; }
+  Question::About about() const { return question_.about; }
+  // What the node at `address` answered; null if it did not.
+  const Reply* Of(const std::string& address) const {
+    auto at = replies_.find(address);
+    return at == replies_.end() ? nullptr : &at->second;
+  }
+  // JSON: the records in order of time, a line of conclusion, and who did not answer.
+  std::string Report() const;
+
+ private:
+  uint64_t nonce_;
+  Question question_;
+  std::vector<std::string> asked_;  // addresses
+  base::Millis deadline_;
+  std::map<std::string, Reply> replies_;
+};
+
+}  // namespace elderkeel::diagnosis
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -19,6 +19,7 @@
 constexpr base::Millis kProbeTimeoutMs = 1000;
 constexpr base::Millis kLeastMs = 2;
 constexpr size_t kMaxQueued = 512;
+constexpr size_t kStreamBytes = 256 << 10;  // of a streamed answer that the client has not taken
 constexpr double kMeanWeight = 0.05;
 constexpr double kSecondReserve = 1.0;  // budget left for failures by sends that are only late
 constexpr const char* kAttempt = "Elderkeel-Attempt-Id";
@@ -65,6 +66,11 @@
           ServerOptions(settings, [this] { return table_ ? table_->limits() : wire::Limits(); }),
           [this](Ticket ticket, Message&& request) { OnRequest(ticket, std::move(request)); }) {
   server_.OnGone([this](Ticket ticket) { OnGone(ticket); });
+  server_.OnDrained([this](Ticket ticket) {
+    auto at = exchanges_.find(ticket);
+    if (at == exchanges_.end()) return;
+    for (Send& send : at->second->sends) send.connection->Pause(false);
+  });
   server_.OnRefused([this](int status, const char* reason) {
     telemetry::RequestRecord record;
     record.status = static_cast<uint16_t>(status);
@@ -334,6 +340,9 @@
   servers_.Begin(now, server);
   Ticket ticket = x->ticket;
   uint64_t id = send.id;
+  connection->OnLarge([this, ticket, id](const Message& so_far, int64_t length) {
+    return Stream(ticket, id, so_far, length);
+  });
   connection->Send(RequestBytes(*x, servers_.at(server).id), x->request.method == "HEAD",
                    [this, ticket, id](wire::HttpConnection::Outcome&& outcome) {
                      OnOutcome(ticket, id, std::move(outcome));
@@ -359,6 +368,38 @@
   return "";
 }
 
+// An answer too large to be held goes to the client as it comes, no faster than the client takes
+// it. From its first byte on there is no other try; if it is cut, the client's connection is reset.
+wire::HttpConnection::BodySink Front::Stream(Ticket ticket, uint64_t id, const Message& so_far,
+                                             int64_t length) {
+  auto found = exchanges_.find(ticket);
+  if (found == exchanges_.end()) return nullptr;
+  Exchange* x = found->second.get();
+  if (so_far.status / 100 != 2 || !AnswerFault(*x, so_far).empty()) return nullptr;
+  if (!server_.BeginAnswer(ticket, so_far, length)) return nullptr;
+  x->streaming = id;
+  x->second_at = 0;
+  // Whatever else is out for this request is not needed any more.
+  for (size_t i = 0; i < x->sends.size();) {
+    if (x->sends[i].id == id) {
+      ++i;
+      continue;
+    }
+    Send other = std::move(x->sends[i]);
+    x->sends.erase(x->sends.begin() + static_cast<long>(i));
+    servers_.Abandon(other.server, other.begun);
+    Discard(other.server, std::move(other.connection));
+  }
+  server_.WriteBody(ticket, so_far.body);
+  return [this, ticket](std::string_view bytes) {
+    server_.WriteBody(ticket, bytes);
+    if (server_.Unsent(ticket) < kStreamBytes) return;
+    auto at = exchanges_.find(ticket);
+    if (at == exchanges_.end()) return;
+    for (Send& send : at->second->sends) send.connection->Pause(true);
+  };
+}
+
 void Front::OnOutcome(Ticket ticket, uint64_t id, wire::HttpConnection::Outcome&& outcome) {
   auto found = exchanges_.find(ticket);
   if (found == exchanges_.end()) return;
@@ -414,6 +455,18 @@
   x->ledger.End(send.entry, fate);
   uint32_t service = servers_.at(send.server).service;
 
+  if (x->streaming == send.id) {
+    bool whole = fate == Fate::kRun;
+    Record(*x, whole ? outcome.answer.status : 0, Step::kAnswer, whole ? "" : reason, !whole);
+    if (whole) {
+      server_.EndAnswer(ticket);
+    } else {
+      server_.Reset(ticket);
+    }
+    Erase(x);
+    PumpQueue(service);
+    return;
+  }
   if (fate == Fate::kRun) {
     const Message& answer = outcome.answer;
     int status = answer.status;
@@ -460,6 +513,12 @@
   int status = x->ledger.MayPromise() ? 503 : deadline ? 504 : 502;
   Message answer = wire::OwnAnswer(status, reason);
   if (status == 503) answer.headers.push_back({"Retry-After", kRetryAfter});
+  if (x->streaming) {
+    Record(*x, 0, step, reason, true);
+    server_.Reset(x->ticket);
+    Erase(x);
+    return;
+  }
   Finish(x, answer, step, reason, true);
 }
 
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -75,6 +75,7 @@
     uint32_t last_server = UINT32_MAX;
     telemetry::Step last_step = telemetry::Step::kNone;
     std::string last_reason;
+    uint64_t streaming = 0;               // the send whose answer is being passed on as it comes
     std::unique_ptr<wire::Message> kept;  // a server's own failure, if nothing better comes
     base::Timer timer;
   };
@@ -103,6 +104,8 @@
   void Queue(Exchange* x);
   void Unqueue(Exchange* x);
   void PumpQueue(uint32_t service);
+  wire::HttpConnection::BodySink Stream(Ticket ticket, uint64_t send, const wire::Message& so_far,
+                                        int64_t length);
   std::unique_ptr<wire::HttpConnection> TakeConnection(uint32_t server, bool idempotent);
   void GiveBack(uint32_t server, std::unique_ptr<wire::HttpConnection> connection);
   void Discard(uint32_t server, std::unique_ptr<wire::HttpConnection> connection);
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -97,7 +97,43 @@
 
 void Proxy::CatalogAdopted() { front_->Adopt(fleet_->news().catalog()); }
 
-void Proxy::OnMessage(const base::Address&, wire::Kind kind, std::string_view payload) {
+void Proxy::Answer(const base::Address& from, const diagnosis::Query& query) {
+  diagnosis::Question question;
+  question.about = query.about;
+  question.value = query.value;
+  uint64_t nonce = query.nonce;
+  if (query.about == diagnosis::Question::About::kNode) {
+    base::Millis now = base::SteadyMillis();
+    telemetry::Recorder::Counts counts = recorder_->counts();
+    diagnosis::Reply reply;
+    reply.nonce = nonce;
+    reply.node = settings_.node_name;
+    reply.lines.push_back("revision=" + std::to_string(fleet_->news().revision()) +
+                          " catalog_epoch=" + std::to_string(fleet_->news().catalog().epoch) +
+                          " catalog_age_ms=" + std::to_string(fleet_->news().catalog_age(now)) +
+                          " ready=" + (readiness_.Ready(now) ? "yes" : "no") +
+                          " busy=" + std::to_string(front_->busy()) +
+                          " records_lost=" + std::to_string(counts.lost + counts.unsent));
+    fleet_->mesh().Send(from, wire::Kind::kQueryReply, reply);
+    return;
+  }
+  // Taken and searched on the exporter's thread; only the reply comes back to this one.
+  recorder_->TakeRecords([this, from, question, nonce](std::string lines) {
+    diagnosis::Reply reply = diagnosis::Select(question, lines);
+    reply.nonce = nonce;
+    reply.node = settings_.node_name;
+    reply.wall_us = (base::WallNanos() - base::SteadyNanos()) / 1000;
+    loop_->Post([this, from, reply = std::move(reply)] {
+      fleet_->mesh().Send(from, wire::Kind::kQueryReply, reply);
+    });
+  });
+}
+
+void Proxy::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
+  if (kind == wire::Kind::kQuery) {
+    if (auto query = wire::Decode<diagnosis::Query>(payload)) Answer(from, *query);
+    return;
+  }
   if (kind != wire::Kind::kConfirmReply) return;
   auto reply = wire::Decode<news::ConfirmReply>(payload);
   if (!reply || reply->nonce != nonce_) return;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -5,6 +5,7 @@
 #include "base/loop.h"
 #include "base/settings.h"
 #include "catalog/platform.h"
+#include "diagnosis/diagnosis.h"
 #include "forwarding/front.h"
 #include "news/fleet.h"
 #include "readiness/readiness.h"
@@ -25,6 +26,7 @@
 
  private:
   void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
+  void Answer(const base::Address& from, const diagnosis::Query& query);
   void ConfigAdopted();
   void CatalogAdopted();
   void Tick();
--- a/src/telemetry/recorder.cc
+++ b/src/telemetry/recorder.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr size_t kKeptBytes = 96 << 10;
+constexpr size_t kKeptControlBytes = 32 << 10;
 constexpr int64_t kClockStepNs = 50'000'000;
 constexpr int kStalledTurns = 2;
 
@@ -34,6 +35,12 @@
   Add(line, key, std::string_view(std::to_string(value)));
 }
 
+void KeepNewest(std::string* lines, size_t bytes) {
+  if (lines->size() <= bytes) return;
+  size_t cut = lines->find('\n', lines->size() - bytes);
+  lines->erase(0, cut == std::string::npos ? 0 : cut + 1);
+}
+
 class StdoutSink : public Sink {
  public:
   bool Write(std::string_view text) override {
@@ -205,7 +212,7 @@
   return counts;
 }
 
-void Recorder::TakeRequests(std::function<void(std::string)> done) {
+void Recorder::TakeRecords(std::function<void(std::string)> done) {
   {
     std::lock_guard<std::mutex> lock(mutex_);
     asked_.push_back(std::move(done));
@@ -231,12 +238,9 @@
           std::memcpy(&record, payload, sizeof record);
           Line(record, "request.done", h.time, &kept_);
         });
-        if (kept_.size() > kKeptBytes) {
-          size_t cut = kept_.find('\n', kept_.size() - kKeptBytes);
-          kept_.erase(0, cut == std::string::npos ? 0 : cut + 1);
-        }
+        KeepNewest(&kept_, kKeptBytes);
       }
-      for (auto& done : asked) done(kept_);
+      for (auto& done : asked) done(kept_control_ + kept_);
     }
     lock.lock();
   }
@@ -269,9 +273,12 @@
   control_.Read([&](const Buffer<>::RecordHeader& h, const std::byte* payload) {
     ControlRecord record;
     std::memcpy(&record, payload, sizeof record);
+    size_t begin = text.size();
     Line(record, h.time, &text);
+    kept_control_.append(text, begin);
     ++lines;
   });
+  KeepNewest(&kept_control_, kKeptControlBytes);
   uint64_t lost = failures_.lost() + control_.lost() + unsent_.load(std::memory_order_relaxed);
   if (lost != lost_told_) {
     text += "event=telemetry.lost";
--- a/src/telemetry/recorder.h
+++ b/src/telemetry/recorder.h
@@ -142,9 +142,9 @@
   void Control(const ControlRecord& record) { control_.Write(record); }
   NameBook& names() { return names_; }
 
-  // Takes what the flight recorder holds, as lines, on the exporter's thread; then calls `done`
-  // there.
-  void TakeRequests(std::function<void(std::string lines)> done);
+  // Takes what the flight recorder holds, as lines, and the newest lines about the node itself, on
+  // the exporter's thread; then calls `done` there.
+  void TakeRecords(std::function<void(std::string lines)> done);
   // One export now, by the caller, when no exporter runs; for the end of a process.
   void Flush();
   struct Counts {
@@ -168,7 +168,8 @@
   std::atomic<uint64_t> unsent_{0}, exported_{0};
   uint64_t lost_told_ = 0;
   int64_t clock_offset_ = 0;
-  std::string kept_;  // the newest lines of `requests` already taken, bounded
+  std::string kept_;          // the newest lines of `requests` already taken, bounded
+  std::string kept_control_;  // the newest lines of `control`, bounded
 
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/src/wire/http.cc
+++ b/src/wire/http.cc
@@ -111,6 +111,8 @@
   to_head_ = to_head;
   self_delimited_ = true;
   trailers_ = 0;
+  stated_length_ = -1;
+  sink_ = nullptr;
   bad_status_ = 0;
   bad_reason_ = "";
 }
@@ -171,6 +173,10 @@
 
 int MessageReader::OnBody(http_parser* p, const char* at, size_t n) {
   MessageReader* r = Self(p);
+  if (r->sink_) {
+    r->sink_(std::string_view(at, n));
+    return 0;
+  }
   if (r->message_.body.size() + n > r->body_limit_) {
     r->too_large_ = true;
     return 1;
@@ -219,6 +225,7 @@
       bool digits = !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
       return digits ? Bad(413, "body too large") : Bad(400, "malformed length");
     }
+    stated_length_ = length;
     if (static_cast<size_t>(length) > limits.body_bytes && !to_head_) {
       return Bad(413, "body too large");
     }
@@ -312,8 +319,10 @@
   return false;
 }
 
-void WriteAnswer(evbuffer* out, const Message& answer, bool close, bool to_head,
-                 int64_t keep_alive_s) {
+namespace {
+
+// The status line and all headers that go on; `length` is where a length was found.
+std::string HeadOf(const Message& answer, const std::string** length) {
   std::string head;
   head.reserve(512);
   head += "HTTP/1.1 " + std::to_string(answer.status) + ' ';
@@ -321,15 +330,33 @@
   head += "\r\n";
   const std::string* named = answer.Find("Connection");
   std::string_view connection = named ? std::string_view(*named) : std::string_view();
-  const std::string* length = nullptr;
   for (const Header& header : answer.headers) {
     if (EqualNoCase(header.name, "Content-Length")) {
-      length = &header.value;
+      *length = &header.value;
       continue;
     }
     if (IsHopByHop(header.name, connection)) continue;
     head.append(header.name).append(": ").append(header.value).append("\r\n");
   }
+  return head;
+}
+
+}  // namespace
+
+void WriteHead(evbuffer* out, const Message& answer, bool close, int64_t length) {
+  const std::string* ignored = nullptr;
+  std::string head = HeadOf(answer, &ignored);
+  head += length >= 0 ? "Content-Length: " + std::to_string(length) + "\r\n"
+                      : std::string("Transfer-Encoding: chunked\r\n");
+  if (close) head += "Connection: close\r\n";
+  head += "\r\n";
+  evbuffer_add(out, head.data(), head.size());
+}
+
+void WriteAnswer(evbuffer* out, const Message& answer, bool close, bool to_head,
+                 int64_t keep_alive_s) {
+  const std::string* length = nullptr;
+  std::string head = HeadOf(answer, &length);
   // No length stands where no body may; for HEAD the length is that of the body it stands for.
   if (to_head && length) {
     head += "Content-Length: " + *length + "\r\n";
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -68,6 +69,11 @@
   bool self_delimited() const { return self_delimited_; }
   bool wants_continue() const { return wants_continue_; }
   size_t body_size() const { return message_.body.size(); }
+  // The length that the head states; -1 where the body comes in chunks.
+  int64_t stated_length() const { return stated_length_; }
+  const Message& message() const { return message_; }
+  // From here on the body is handed over as it comes and is not kept.
+  void StreamTo(std::function<void(std::string_view)> sink) { sink_ = std::move(sink); }
   Message Take() { return std::move(message_); }
 
  private:
@@ -98,6 +104,8 @@
   bool too_large_ = false;
   bool skip_body_ = false;
   size_t trailers_ = 0;
+  int64_t stated_length_ = -1;
+  std::function<void(std::string_view)> sink_;
   int bad_status_ = 0;
   const char* bad_reason_ = "";
 };
@@ -108,6 +116,9 @@
 // Writes an answer with its length; `close` adds Connection: close.
 void WriteAnswer(evbuffer* out, const Message& answer, bool close, bool to_head,
                  int64_t keep_alive_s);
+// The head alone, for a body that follows as it comes: with its length, or in chunks if `length` <
+// 0.
+void WriteHead(evbuffer* out, const Message& answer, bool close, int64_t length);
 const char* ReasonPhrase(int status);
 
 // An answer of our own, with a small JSON body that says why.
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -47,7 +47,7 @@
 
 void HttpConnection::Send(std::string bytes, bool to_head, Done done) {
   done_ = std::move(done);
-  any_sent_ = false;
+  any_sent_ = streaming_ = false;
   reader_.Reset(to_head);
   if (closed_) {
     connect_timer_.Start(loop_, 0, [this] { Finish(Ending::kNotSent, "connect refused"); });
@@ -56,6 +56,15 @@
   bufferevent_write(socket_.get(), bytes.data(), bytes.size());
 }
 
+void HttpConnection::Pause(bool pause) {
+  if (closed_) return;
+  if (pause) {
+    bufferevent_disable(socket_.get(), EV_READ);
+  } else {
+    bufferevent_enable(socket_.get(), EV_READ);
+  }
+}
+
 bool HttpConnection::Usable() const {
   if (closed_ || busy()) return false;
   if (!connected_) return true;
@@ -74,8 +83,24 @@
     if (self->lost_) self->lost_();
     return;
   }
-  MessageReader::Progress progress = self->reader_.Read(in, self->limits_);
-  if (progress == MessageReader::Progress::kMore) return;
+  Limits limits = self->limits_;
+  if (self->large_) limits.body_bytes = SIZE_MAX;  // judged below, where the rest can be streamed
+  MessageReader::Progress progress = self->reader_.Read(in, limits);
+  if (progress == MessageReader::Progress::kMore) {
+    if (!self->large_ || self->streaming_ || !self->reader_.head_done()) return;
+    int64_t length = self->reader_.stated_length();
+    size_t held = self->limits_.body_bytes;
+    if (self->reader_.body_size() <= held && length <= static_cast<int64_t>(held)) return;
+    BodySink sink = self->large_(self->reader_.message(), length);
+    if (!sink) {
+      self->Close();
+      self->Finish(Ending::kBroken, "answer too large");
+      return;
+    }
+    self->streaming_ = true;
+    self->reader_.StreamTo(std::move(sink));
+    return;
+  }
   if (progress == MessageReader::Progress::kBad) {
     self->Close();
     self->Finish(Ending::kBroken, self->reader_.bad_reason());
--- a/src/wire/http_client.h
+++ b/src/wire/http_client.h
@@ -32,6 +32,14 @@
 
   // Sends one request; `done` is called once, never from inside Send. Only when not busy.
   void Send(std::string bytes, bool to_head, Done done);
+  // Called once when the answer's body is larger than the limit, with the head and what came so
+  // far. If it returns a sink, the rest goes there and `done` gets the answer without its body; if
+  // not, the answer is broken off.
+  using BodySink = std::function<void(std::string_view)>;
+  using Large = std::function<BodySink(const Message& so_far, int64_t length)>;
+  void OnLarge(Large large) { large_ = std::move(large); }
+  // Stops reading while whoever takes the body can't keep up.
+  void Pause(bool pause);
   // Called when the connection, while idle, is closed or can no longer be trusted.
   void OnLost(std::function<void()> lost) { lost_ = std::move(lost); }
 
@@ -59,6 +67,8 @@
   MessageReader reader_;
   Done done_;
   std::function<void()> lost_;
+  Large large_;
+  bool streaming_ = false;
   bool connected_ = false;
   bool closed_ = false;
   bool any_sent_ = false;
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -20,13 +20,14 @@
   BuffereventPtr socket;
   MessageReader reader;
   base::Timer timer;
-  enum class State { kReading, kWaiting, kWriting, kLingering } state = State::kReading;
+  enum class State { kReading, kWaiting, kStreaming, kWriting, kLingering } state = State::kReading;
   enum class Clock { kNone, kIdle, kHeader, kBody } clock = Clock::kNone;
   Ticket ticket = 0;
   bool keep_alive = true;
   bool to_head = false;
   bool close_after = false;
   bool continued = false;
+  bool chunks = false;
   size_t counted = 0;  // bytes of this connection's body in the server's sum
 };
 
@@ -146,6 +147,53 @@
   return true;
 }
 
+bool HttpServer::BeginAnswer(Ticket ticket, const Message& head, int64_t length) {
+  auto at = waiting_.find(ticket);
+  if (at == waiting_.end()) return false;
+  Connection* c = at->second;
+  c->close_after = leaving_ || !c->keep_alive;
+  c->chunks = length < 0;
+  c->state = Connection::State::kStreaming;
+  WriteHead(bufferevent_get_output(c->socket.get()), head, c->close_after, length);
+  return true;
+}
+
+bool HttpServer::WriteBody(Ticket ticket, std::string_view bytes) {
+  auto at = waiting_.find(ticket);
+  if (at == waiting_.end()) return false;
+  if (bytes.empty()) return true;
+  evbuffer* out = bufferevent_get_output(at->second->socket.get());
+  if (at->second->chunks) evbuffer_add_printf(out, "%zx\r\n", bytes.size());
+  evbuffer_add(out, bytes.data(), bytes.size());
+  if (at->second->chunks) evbuffer_add(out, "\r\n", 2);
+  return true;
+}
+
+void HttpServer::EndAnswer(Ticket ticket) {
+  auto at = waiting_.find(ticket);
+  if (at == waiting_.end()) return;
+  Connection* c = at->second;
+  waiting_.erase(at);
+  c->ticket = 0;
+  c->state = Connection::State::kWriting;
+  evbuffer* out = bufferevent_get_output(c->socket.get());
+  if (c->chunks) evbuffer_add(out, "0\r\n\r\n", 5);
+  // With nothing left to write no event would tell that it is written.
+  if (evbuffer_get_length(out) == 0) {
+    uint64_t id = c->id;
+    loop_->Defer([this, id] {
+      auto still = connections_.find(id);
+      if (still != connections_.end()) OnWritten(nullptr, still->second.get());
+    });
+  }
+}
+
+size_t HttpServer::Unsent(Ticket ticket) const {
+  auto at = waiting_.find(ticket);
+  if (at == waiting_.end()) return 0;
+  return evbuffer_get_length(bufferevent_get_output(at->second->socket.get()));
+}
+
 void HttpServer::Reset(Ticket ticket) {
   auto at = waiting_.find(ticket);
   if (at == waiting_.end()) return;
@@ -159,8 +207,9 @@
 
 void HttpServer::OnWritten(bufferevent*, void* arg) {
   auto* c = static_cast<Connection*>(arg);
-  if (c->state != Connection::State::kWriting) return;
   HttpServer* server = c->server;
+  if (c->state == Connection::State::kStreaming && server->drained_) server->drained_(c->ticket);
+  if (c->state != Connection::State::kWriting) return;
   if (c->close_after) {
     server->Linger(c);
     return;
@@ -220,7 +269,8 @@
 size_t HttpServer::busy() const {
   size_t n = 0;
   for (const auto& [id, c] : connections_) {
-    n += c->state == Connection::State::kWaiting || c->state == Connection::State::kWriting ||
+    n += c->state == Connection::State::kWaiting || c->state == Connection::State::kStreaming ||
+         c->state == Connection::State::kWriting ||
          (c->state == Connection::State::kReading && c->reader.started());
   }
   return n;
--- a/src/wire/http_server.h
+++ b/src/wire/http_server.h
@@ -36,6 +36,14 @@
 
   // False if the client is no longer there.
   bool Answer(Ticket ticket, const Message& answer, bool close = false);
+  // An answer too large to be held: its head, its body as it comes, its end. `length` < 0: chunks.
+  bool BeginAnswer(Ticket ticket, const Message& head, int64_t length);
+  bool WriteBody(Ticket ticket, std::string_view bytes);
+  void EndAnswer(Ticket ticket);
+  // Bytes of the answer that the client has not taken yet.
+  size_t Unsent(Ticket ticket) const;
+  // An answer that is being written has gone out as far as it was given.
+  void OnDrained(std::function<void(Ticket)> drained) { drained_ = std::move(drained); }
   // For an answer that was begun and can't be completed: the client must see a broken connection.
   void Reset(Ticket ticket);
   // While leaving, every answer carries Connection: close, and idle connections are closed by
@@ -62,6 +70,7 @@
   Options options_;
   Handler handler_;
   GoneHandler gone_;
+  std::function<void(Ticket)> drained_;
   RefusedHandler refused_;
   Listener listener_;
   std::unordered_map<uint64_t, std::unique_ptr<Connection>> connections_;
--- /dev/null
+++ b/tests/diagnosis_test.cc
@@ -0,0 +1,90 @@
+#include "diagnosis/diagnosis.h"
+
+#include <gtest/gtest.h>
+
+#include "diagnosis/console.h"
+
+namespace elderkeel::diagnosis {
+namespace {
+
+const char* kLines =
+    "event=request.done at_us=2000000 attempt=a1 status=502 step=answer reason=\"no = seal\" "
+    "server=i-1 sends=2 revision=7\n"
+    "event=request.done at_us=1000000 attempt=a2 status=200 step=answer reason=\"\" server=i-1 "
+    "sends=1 revision=6\n"
+    "event=version.adopted at_us=1500000 good=0 number=7\n"
+    "event=server.draining at_us=1700000 server=i-1 good=0 number=0\n";
+
+TEST(Diagnosis, ReadsValuesOfLines) {
+  std::string line = "a=1 b=\"x \\\"y\\\" b=2\" c=3";
+  EXPECT_EQ(ValueOf(line, "a"), "1");
+  EXPECT_EQ(ValueOf(line, "b"), "x \"y\" b=2");
+  EXPECT_EQ(ValueOf(line, "c"), "3");
+  EXPECT_EQ(ValueOf(line, "d"), "");
+}
+
+TEST(Diagnosis, SelectsWhatWasAskedFor) {
+  struct Case {
+    const char* query;
+    size_t lines;  // 99: refused
+  } cases[] = {{"attempt=a1", 1},   {"attempt=a", 0},      {"server=i-1", 3}, {"revision=7", 2},
+               {"revision=9", 0},   {"attempt=", 99},      {"", 99},          {"color=red", 99},
+               {"attempt=a b", 99}, {"attempt=a1&x=y", 99}};
+  for (const Case& c : cases) {
+    auto question = Question::Parse(c.query);
+    ASSERT_EQ(question.ok(), c.lines != 99) << c.query;
+    if (question) {
+      EXPECT_EQ(Select(*question, kLines).lines.size(), c.lines) << c.query;
+    }
+  }
+}
+
+TEST(Diagnosis, ReportsInOrderOfTimeAndNamesTheSilent) {
+  Inquiry inquiry(5, *Question::Parse("server=i-1"), {"10.0.0.1:7", "10.0.0.2:7"}, 1000);
+  Reply reply = Select(*Question::Parse("server=i-1"), kLines);
+  reply.nonce = 4;
+  inquiry.Take("10.0.0.1:7", reply);  // to another question
+  reply.nonce = 5;
+  reply.node = "edge-1";
+  inquiry.Take("10.0.0.1:7", reply);
+  EXPECT_FALSE(inquiry.Done(999));
+  EXPECT_TRUE(inquiry.Done(1000));
+  std::string json = inquiry.Report();
+  EXPECT_LT(json.find("attempt=a2"), json.find("server.draining"));
+  EXPECT_LT(json.find("server.draining"), json.find("attempt=a1"));
+  EXPECT_NE(json.find("2 requests ended there, 1 of them without success, seen by 1 nodes"),
+            std::string::npos)
+      << json;
+  bool degraded = false;
+  std::string text = DiagnosisText(json, &degraded);
+  EXPECT_TRUE(degraded);
+  EXPECT_NE(text.find("did not answer: 10.0.0.2:7"), std::string::npos);
+  inquiry.Take("10.0.0.2:7", Reply{5, "edge-2", 0, false, {}});
+  EXPECT_TRUE(inquiry.Done(0));
+  degraded = false;
+  DiagnosisText(inquiry.Report(), &degraded);
+  EXPECT_FALSE(degraded);
+}
+
+TEST(Diagnosis, StatusSaysWhatItDoesNotKnow) {
+  bool degraded = false;
+  std::string text = StatusText(
+      R"({"node":"n1","role":"leader","term":3,"leader":"10.0.0.1:7","settled":true,"revision":4,
+      "voters":[{"address":"10.0.0.1:7","control":"10.0.0.1:8","silent-ms":0}],
+      "nodes":[{"address":"10.0.0.1:9","program":"proxy","zone":"a","state":"alive","revision":"4","ready":"yes"}]})",
+      &degraded);
+  EXPECT_FALSE(degraded);
+  EXPECT_NE(text.find("revision 4  ready yes"), std::string::npos) << text;
+  text = StatusText(
+      R"({"node":"n1","role":"follower","term":3,"leader":null,"settled":false,"unknown":"no majority is heard: own view"})",
+      &degraded);
+  EXPECT_TRUE(degraded);
+  EXPECT_NE(text.find("leader      unknown   no majority is heard"), std::string::npos) << text;
+  EXPECT_NE(text.find("unknown     no majority is heard: own view"), std::string::npos);
+  degraded = false;
+  StatusText("nonsense", &degraded);
+  EXPECT_TRUE(degraded);
+}
+
+}  // namespace
+}  // namespace elderkeel::diagnosis
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -375,6 +375,36 @@
   EXPECT_FALSE(well->requests.empty());
 }
 
+TEST_F(FrontTest, StreamsWhatIsTooLargeToHold) {
+  settings_.held_body_bytes = 1000;
+  std::string large(300000, 'x');
+  bool cut = false, chunks = false;
+  Serve("i-1", [&](const std::string& r) {
+    std::string good = Good(r, large);
+    if (chunks) {
+      size_t at = good.find("Content-Length");
+      good.erase(at, good.find("\r\n", at) - at);
+      good.insert(at, "Transfer-Encoding: chunked");
+      good.insert(good.size() - large.size(), "493e0\r\n");
+      good += "\r\n0\r\n\r\n";
+    }
+    return cut ? good.substr(0, 200000) + "CUT" : good;
+  });
+  Configure();
+  for (bool in_chunks : {false, true}) {
+    chunks = in_chunks;
+    cut = false;
+    std::string answer = Exchange(Ask("get", "whole"));
+    EXPECT_EQ(Whole(answer), 1) << answer.substr(0, 300);
+    EXPECT_GT(answer.size(), large.size());
+    EXPECT_EQ(answer.find("chunked") != std::string::npos, in_chunks);
+    cut = true;
+    answer = Exchange(Ask("get", "cut"));
+    EXPECT_GT(answer.size(), 1000u);
+    EXPECT_EQ(Whole(answer), 0);  // never looks complete
+  }
+}
+
 TEST_F(FrontTest, AnUnreachableServerIsNoArrival) {
   Add("i-gone", "127.0.0.1:1");
   auto* well = Serve("i-2", [](const std::string& r) { return Good(r); });
--- a/tests/telemetry_test.cc
+++ b/tests/telemetry_test.cc
@@ -267,7 +267,7 @@
   }
   std::atomic<bool> done{false};
   std::string all;
-  recorder.TakeRequests([&](std::string lines) {
+  recorder.TakeRecords([&](std::string lines) {
     all = std::move(lines);
     done = true;
   });
