--- a/src/wire/mesh.cc
+++ b/src/wire/mesh.cc
@@ -133,7 +133,7 @@
   link->used = now;
   if (link->socket) return link.get();
   if (now < link->retry_at) return nullptr;
-  int fd = StartConnect(to, kUserTimeoutMs);
+  int fd = StartConnect(to, kUserTimeoutMs, self_.ip);
   if (fd < 0) {
     link->Fail();
     return nullptr;
--- a/src/wire/socket.cc
+++ b/src/wire/socket.cc
@@ -31,12 +31,18 @@
   }
 }
 
-int StartConnect(const base::Address& address, int user_timeout_ms) {
+int StartConnect(const base::Address& address, int user_timeout_ms, const std::string& from) {
   sockaddr_in to;
   if (!Fill(address, &to)) return -1;
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) return -1;
   TuneSocket(fd, user_timeout_ms);
+  sockaddr_in source;
+  if (!from.empty() &&
+      (!Fill({from, 0}, &source) || bind(fd, reinterpret_cast<sockaddr*>(&source), sizeof source))) {
+    close(fd);
+    return -1;
+  }
   if (connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0 && errno != EINPROGRESS) {
     close(fd);
     return -1;
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -22,8 +22,9 @@
 // no answer at all, and only this notices.
 void TuneSocket(int fd, int user_timeout_ms);
 
-// A TCP socket that has begun to connect; -1 if even that failed.
-int StartConnect(const base::Address& address, int user_timeout_ms);
+// A TCP socket that has begun to connect; -1 if even that failed. `from`: the address to connect
+// from, where the other end takes it for who is calling; empty leaves the choice to the kernel.
+int StartConnect(const base::Address& address, int user_timeout_ms, const std::string& from = "");
 
 // The address of the other end.
 base::Address PeerOf(int fd);
