--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -30,6 +30,8 @@
   void Adopt(const catalog::Catalog& catalog);
   // Proxies in sight, this one included: they share budgets and the servers' connections.
   void SetProxies(size_t proxies);
+  // Which one of its zone's proxies this is.
+  void SetPlace(size_t place, size_t places) { servers_.SetPlace(place, places); }
   // Until both a configuration and a catalog are there, requests get 503.
   bool able() const { return table_ != nullptr && has_catalog_; }
 
--- a/src/forwarding/servers.cc
+++ b/src/forwarding/servers.cc
@@ -7,6 +7,7 @@
 namespace {
 constexpr double kPaceWeight = 0.15;
 constexpr double kLimitGrowth = 0.25;
+constexpr double kChance = 0.02;  // between servers that are as good
 constexpr double kWarmPenalty = 1.0;  // a server that is not warm counts as twice as slow
 }  // namespace
 
@@ -46,9 +47,39 @@
       changes.push_back({i, Change::What::kGone});
     }
   }
+  OrderServers();
   return changes;
 }
 
+void Servers::SetPlace(size_t place, size_t places) {
+  if (place == place_ && places == places_) return;
+  place_ = place;
+  places_ = std::max<size_t>(1, places);
+  OrderServers();
+}
+
+void Servers::OrderServers() {
+  std::vector<uint32_t> open;
+  for (const auto& service : by_service_) {
+    for (bool near : {true, false}) {
+      open.clear();
+      for (uint32_t i : service) {
+        if (servers_[i].listed && !servers_[i].draining && servers_[i].near == near) {
+          open.push_back(i);
+        }
+      }
+      // The same order on every node, whatever the order in which it came to know them.
+      std::sort(open.begin(), open.end(),
+                [&](uint32_t a, uint32_t b) { return servers_[a].id < servers_[b].id; });
+      size_t first = place_ * open.size() / places_;
+      for (size_t k = 0; k < open.size(); ++k) {
+        size_t turn = (k + open.size() - first) % open.size();
+        servers_[open[k]].turn = static_cast<double>(turn) / static_cast<double>(open.size());
+      }
+    }
+  }
+}
+
 bool Servers::Any(uint32_t service) const {
   if (service >= by_service_.size()) return false;
   for (uint32_t i : by_service_[service]) {
@@ -84,7 +115,8 @@
       }
       double score = pace * (1 + static_cast<double>(s.in_flight) / s.capacity);
       if (!s.near) score += options_.far_penalty;
-      score += random_.Unit() * 0.1;  // many nodes with the same view must not all choose the same
+      score += options_.turn_penalty * s.turn;
+      score += random_.Unit() * kChance;
       if (best == kNone || score < best_score) {
         best = i;
         best_score = score;
--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -24,6 +24,8 @@
   bool draining = false;
   base::Millis warm_at = 0;  // slow until then
 
+  double turn = 0;  // 0 to 1: how late it comes in this node's own order of its zone's servers
+
   int in_flight = 0;
   std::vector<base::Millis> begun;  // of the sends in flight
   double limit = 1;                 // sends that this node keeps in flight here
@@ -51,6 +53,7 @@
   struct Options {
     std::string zone;
     double far_penalty = 0.35;  // a server elsewhere must be better by so much of a mean latency
+    double turn_penalty = 0.4;  // for the last server in this node's own order
     base::Millis hold_first = 400;
     base::Millis hold_most = 6000;
   };
@@ -64,6 +67,10 @@
 
   std::vector<Change> Adopt(base::Millis now, const catalog::Catalog& catalog);
 
+  // This node is number `place` of `places` proxies of its zone. Proxies don't see each other's sends;
+  // each begins its order of the servers at another one, so that their first choices differ.
+  void SetPlace(size_t place, size_t places);
+
   static constexpr uint32_t kNone = UINT32_MAX;
   // The best server of the service that has room, or kNone. `mean_ms`: of the route's latency.
   uint32_t Choose(base::Millis now, uint32_t service, double mean_ms,
@@ -87,6 +94,7 @@
  private:
   void Remove(uint32_t server, base::Millis begun);
   void Hold(base::Millis now, Server* s);
+  void OrderServers();
 
   Options options_;
   base::Names* services_;
@@ -94,6 +102,7 @@
   base::Names ids_;
   std::vector<Server> servers_;
   std::vector<std::vector<uint32_t>> by_service_;
+  size_t place_ = 0, places_ = 1;
 };
 
 }  // namespace elderkeel::forwarding
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -45,6 +45,15 @@
   hooks.catalog_adopted = [this] { CatalogAdopted(); };
   hooks.node_changed = [this](const ring::Node&) {
     front_->SetProxies(fleet_->members().CountAlive(ring::Program::kProxy));
+    size_t place = 0, places = 0;
+    for (const auto& [id, node] : fleet_->members().nodes()) {
+      if (node.program != ring::Program::kProxy || node.zone != settings_.zone || !node.reachable()) {
+        continue;
+      }
+      if (id < fleet_->members().self().id) ++place;
+      ++places;
+    }
+    front_->SetPlace(place, places);
   };
   hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
     OnMessage(from, kind, payload);
--- a/src/telemetry/buffer.h
+++ b/src/telemetry/buffer.h
@@ -3,8 +3,10 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 #include <cstring>
 #include <memory>
+#include <new>
 #include <optional>
 #include <type_traits>
 #include <vector>
@@ -79,7 +81,10 @@
         commits_(options.subbuffers),
         spare_(static_cast<uint32_t>(options.subbuffers)) {
     for (size_t i = 0; i <= options.subbuffers; ++i) {
-      storages_.emplace_back(options.subbuffer_bytes / sizeof(uint64_t));
+      // calloc leaves fresh pages untouched: a stand-in that is never used costs no memory.
+      storages_.emplace_back(
+          static_cast<uint64_t*>(std::calloc(options.subbuffer_bytes / sizeof(uint64_t), 8)));
+      if (!storages_.back()) throw std::bad_alloc();
     }
     for (size_t i = 0; i < options.subbuffers; ++i) {
       // Each sub-buffer stands as if all laps before `start` had been committed whole.
@@ -218,7 +223,7 @@
       spare_ = static_cast<uint32_t>(reference);
       // Fails only if a writer pushed the reader meanwhile, and then it stands where it must.
       read_count_.compare_exchange_strong(read, read + sbuf_, std::memory_order_acq_rel);
-      const auto* bytes = reinterpret_cast<const std::byte*>(storages_[spare_].data());
+      const auto* bytes = reinterpret_cast<const std::byte*>(storages_[spare_].get());
       Header header;
       std::memcpy(&header, bytes, sizeof header);
       return Chunk{header.begin_time, header.lost, bytes + sizeof(Header),
@@ -302,7 +307,7 @@
       uint64_t wanted = MakeReference(storage, tag, true);
       if (have == wanted || reference.compare_exchange_weak(have, wanted, std::memory_order_acq_rel,
                                                             std::memory_order_acquire)) {
-        return storages_[storage].data();
+        return storages_[storage].get();
       }
     }
   }
@@ -350,7 +355,10 @@
   std::atomic<Word> read_count_;
   std::atomic<uint64_t> lost_{0};
   std::vector<Commits> commits_;
-  std::vector<std::vector<uint64_t>> storages_;  // one more than sub-buffers: the reader's spare
+  struct Free {
+    void operator()(uint64_t* storage) const { std::free(storage); }
+  };
+  std::vector<std::unique_ptr<uint64_t[], Free>> storages_;  // one more than sub-buffers: the reader's spare
   uint32_t spare_;
 };
 
--- a/src/telemetry/recorder.h
+++ b/src/telemetry/recorder.h
@@ -127,9 +127,9 @@
 class Recorder {
  public:
   struct Options {
-    size_t requests_bytes = 128 << 10;
-    size_t failures_bytes = 32 << 10;
-    size_t control_bytes = 16 << 10;
+    size_t requests_bytes = 64 << 10;
+    size_t failures_bytes = 16 << 10;
+    size_t control_bytes = 8 << 10;
     base::Millis flush_ms = 500;
   };
   Recorder(Options options, std::unique_ptr<Sink> sink);
