--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -52,7 +52,7 @@
  public:
   struct Options {
     std::string zone;
-    double far_penalty = 0.35;  // a server elsewhere must be better by so much of a mean latency
+    double far_penalty = 0.6;  // a server elsewhere must be better by so much of a mean latency
     double turn_penalty = 0.4;  // for the last server in this node's own order
     base::Millis hold_first = 400;
     base::Millis hold_most = 6000;
