--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -53,7 +53,7 @@
   struct Options {
     std::string zone;
     double far_penalty = 0.6;  // a server elsewhere must be better by so much of a mean latency
-    double turn_penalty = 0.4;  // for the last server in this node's own order
+    double turn_penalty = 0.3;  // for the last server in this node's own order
     base::Millis hold_first = 400;
     base::Millis hold_most = 6000;
   };
