After a sleep, take only requests whose clients are still there

Ruled out: stale configuration or list, connections to servers. Now a server that noticed a gap in its own steady time looks first whether the client is still there. The test fails without it.

--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -41,6 +41,7 @@
                                         std::function<wire::Limits()> limits) {
   wire::HttpServer::Options options;
   options.limits = std::move(limits);
+  options.notice_sleep = true;
   // Half of the descriptors for clients, the rest for servers and other nodes.
   options.max_connections = static_cast<size_t>(std::max<int64_t>(64, settings.max_fds / 2));
   options.max_buffered_bytes = static_cast<size_t>(settings.memory_mb) * (1 << 20) / 4;
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -3,11 +3,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include "base/log.h"
 
 namespace elderkeel::wire {
 namespace {
 constexpr base::Millis kLingerMs = 1000;
+constexpr base::Millis kAwakeEveryMs = 100;
+constexpr base::Millis kAsleepMs = 400;
 // Bytes of further requests that may wait on a connection while one is being answered.
 constexpr size_t kPipelinedBytes = 64 << 10;
 }  // namespace
@@ -32,7 +36,24 @@
 };
 
 HttpServer::HttpServer(base::Loop* loop, Options options, Handler handler)
-    : loop_(loop), options_(std::move(options)), handler_(std::move(handler)) {}
+    : loop_(loop), options_(std::move(options)), handler_(std::move(handler)) {
+  if (!options_.notice_sleep) return;
+  awake_at_ = base::SteadyMillis();
+  awake_timer_.Repeat(loop_, kAwakeEveryMs, [this] {
+    base::Millis now = base::SteadyMillis();
+    if (now - awake_at_ > kAsleepMs) slept_until_ = now + kAwakeEveryMs;
+    awake_at_ = now;
+  });
+}
+
+bool HttpServer::LeftWhileAsleep(const Connection* c) const {
+  if (!options_.notice_sleep) return false;
+  base::Millis now = base::SteadyMillis();
+  if (now - awake_at_ <= kAsleepMs && now >= slept_until_) return false;
+  char byte;
+  ssize_t n = recv(bufferevent_getfd(c->socket.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
 
 HttpServer::~HttpServer() = default;
 
@@ -111,6 +132,10 @@
     c->timer.Start(loop_, limits.idle_ms, [this, c] { Refuse(c, 408, "body too slow"); });
     return;
   }
+  if (LeftWhileAsleep(c)) {
+    Drop(c);
+    return;
+  }
   c->timer.Cancel();
   c->clock = Connection::Clock::kNone;
   c->state = Connection::State::kWaiting;
--- a/src/wire/http_server.h
+++ b/src/wire/http_server.h
@@ -17,6 +17,9 @@
   using Ticket = uint64_t;  // names a request that waits for its answer
   struct Options {
     std::function<Limits()> limits;  // asked anew for each message
+    // After this process slept (was frozen, or had no processor), requests that waited meanwhile
+    // are taken only if their clients still are there.
+    bool notice_sleep = false;
     size_t max_connections = 1000;
     size_t max_buffered_bytes = 64u << 20;  // all bodies being read, together
   };
@@ -62,6 +65,7 @@
   void Refuse(Connection* c, int status, const char* reason);
   void WaitForRequest(Connection* c);
   void Linger(Connection* c);
+  bool LeftWhileAsleep(const Connection* c) const;
   static void OnReadable(bufferevent*, void* arg);
   static void OnWritten(bufferevent*, void* arg);
   static void OnEvent(bufferevent*, short what, void* arg);
@@ -79,6 +83,9 @@
   Ticket next_ticket_ = 1;
   size_t buffered_ = 0;
   bool leaving_ = false;
+  base::Timer awake_timer_;
+  base::Millis awake_at_ = 0;     // the last sign of not being asleep
+  base::Millis slept_until_ = 0;  // till then, what is read may have waited through a sleep
 };
 
 }  // namespace elderkeel::wire
--- a/src/wire/socket.cc
+++ b/src/wire/socket.cc
@@ -38,8 +38,8 @@
   if (fd < 0) return -1;
   TuneSocket(fd, user_timeout_ms);
   sockaddr_in source;
-  if (!from.empty() &&
-      (!Fill({from, 0}, &source) || bind(fd, reinterpret_cast<sockaddr*>(&source), sizeof source))) {
+  if (!from.empty() && (!Fill({from, 0}, &source) ||
+                        bind(fd, reinterpret_cast<sockaddr*>(&source), sizeof source))) {
     close(fd);
     return -1;
   }
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <thread>
+
 #include "wire/socket.h"
 
 namespace elderkeel::forwarding {
@@ -405,6 +407,33 @@
   }
 }
 
+TEST_F(FrontTest, AfterASleepSendsNothingForClientsThatLeft) {
+  // Found in an incident: a node that was frozen woke and sent all that had piled up to the
+  // servers.
+  auto* server = Serve("i-1", [](const std::string& r) { return Good(r); });
+  Configure();
+  std::vector<int> clients;
+  for (int i = 0; i < 5; ++i) {
+    int fd = wire::StartConnect(settings_.front, 0);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    std::string bytes = Ask(i % 2 ? "post" : "get", "gone-" + std::to_string(i));
+    EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+    if (i < 4) {
+      shutdown(fd, SHUT_WR);
+      close(fd);
+    } else {
+      clients.push_back(fd);
+    }
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));  // the loop does not run
+  Exchange("GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n");
+  EXPECT_EQ(Status(Exchange(Ask("get", "after"))), 200);
+  // Only the one that waited, and the one after.
+  EXPECT_EQ(server->requests.size(), 2u);
+  for (int fd : clients) close(fd);
+}
+
 TEST_F(FrontTest, AnUnreachableServerIsNoArrival) {
   Add("i-gone", "127.0.0.1:1");
   auto* well = Serve("i-2", [](const std::string& r) { return Good(r); });
