--- a/src/controller/main.cc
+++ b/src/controller/main.cc
@@ -1,8 +1,7 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
 
-#include "base/log.h"
-#include "base/settings.h"
+#include "base/program.h"
 #include "configuration/document.h"
 #include "controller/controller.h"
 #include "diagnosis/console.h"
@@ -11,49 +10,15 @@
 
 using namespace elderkeel;
 
-int CheckSettings(const std::string& path) {
-  auto settings = base::LoadSettings(path);
-  if (!settings) {
-    std::cerr << path << ": " << settings.error().reason << "\n";
-    return 2;
-  }
-  std::cout << path << ": valid\n";
-  return 0;
-}
-
 int CheckConfiguration(const std::string& path) {
   auto text = base::ReadFile(path);
-  if (!text) {
-    std::cerr << path << ": " << text.error().reason << "\n";
-    return 2;
-  }
+  if (!text) return base::Complain(path, text.error());
   configuration::Refusal refusal = configuration::CheckValid(*text);
-  if (!refusal.reason.empty()) {
-    std::cerr << path << ": " << refusal.reason << "\n";
-    return 2;
-  }
+  if (!refusal.reason.empty()) return base::Complain(path, {"check", path, refusal.reason});
   std::cout << path << ": valid, revision " << configuration::RevisionOf(*text) << "\n";
   return 0;
 }
 
-int Run(const std::string& path) {
-  auto settings = base::LoadSettings(path);
-  if (!settings) {
-    std::cerr << path << ": " << settings.error().reason << "\n";
-    return 2;
-  }
-  base::SetLogLevel(base::ParseLogLevel(settings->log_level, base::LogLevel::kInfo));
-  base::Loop loop;
-  controller::Controller controller(&loop, *settings, path);
-  auto started = controller.Start();
-  if (!started) {
-    base::Warn("controller.failed", started.error());
-    return 1;
-  }
-  loop.Run();
-  return 0;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -100,7 +65,7 @@
     int code = app.exit(error);
     return code == 0 ? 0 : 2;
   }
-  if (run->parsed()) return Run(settings);
+  if (run->parsed()) return base::RunProcess<controller::Controller>(settings);
   if (status->parsed() || diagnose->parsed()) {
     base::Result<base::Address> address = base::Error{};
     if (!control.empty()) {
@@ -125,5 +90,5 @@
                                     json);
   }
   if (check_configuration->count()) return CheckConfiguration(configuration);
-  return CheckSettings(settings);
+  return base::CheckSettingsFile(settings);
 }
--- a/src/proxy/main.cc
+++ b/src/proxy/main.cc
@@ -1,45 +1,10 @@
 #include <CLI/CLI.hpp>
-#include <iostream>
 
-#include "base/log.h"
-#include "base/settings.h"
+#include "base/program.h"
 #include "proxy/proxy.h"
 
-namespace {
-
-using namespace elderkeel;
-
-int Check(const std::string& path) {
-  auto settings = base::LoadSettings(path);
-  if (!settings) {
-    std::cerr << path << ": " << settings.error().reason << "\n";
-    return 2;
-  }
-  std::cout << path << ": valid\n";
-  return 0;
-}
-
-int Run(const std::string& path) {
-  auto settings = base::LoadSettings(path);
-  if (!settings) {
-    std::cerr << path << ": " << settings.error().reason << "\n";
-    return 2;
-  }
-  base::SetLogLevel(base::ParseLogLevel(settings->log_level, base::LogLevel::kInfo));
-  base::Loop loop;
-  proxy::Proxy proxy(&loop, *settings, path);
-  auto started = proxy.Start();
-  if (!started) {
-    base::Warn("proxy.failed", started.error());
-    return 1;
-  }
-  loop.Run();
-  return 0;
-}
-
-}  // namespace
-
 int main(int argc, char** argv) {
+  using namespace elderkeel;
   CLI::App app{"elderkeel's data plane: forwards requests to servers"};
   app.set_version_flag("--version", "elderkeel proxy " ELDERKEEL_VERSION);
   app.require_subcommand(1);
@@ -54,5 +19,6 @@
     int code = app.exit(error);
     return code == 0 ? 0 : 2;
   }
-  return run->parsed() ? Run(settings) : Check(settings);
+  return run->parsed() ? base::RunProcess<proxy::Proxy>(settings)
+                       : base::CheckSettingsFile(settings);
 }
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -226,6 +226,68 @@
   Settle(&world, 8000, "after its store was read anew");
 }
 
+TEST(Simulation, OneWatchersWordIsNotADeath) {
+  World world({});
+  world.Run(2000);
+  world.Change();
+  Settle(&world, 3000, "start");
+  const size_t accused = 4;
+  uint64_t id = base::Hash(world.node(accused).address.ToString());
+  size_t watcher = 0;
+  for (size_t i = 0; i < world.size(); ++i) {
+    if (world.node(i).members->self().id == world.node(accused).members->WatchersOf(id)[0]->id) {
+      watcher = i;
+    }
+  }
+  world.Cut(accused, watcher, true);
+  bool suspected = false;
+  for (int k = 0; k < 60; ++k) {
+    world.Run(50);
+    for (size_t i = 0; i < world.size(); ++i) {
+      ring::State state = world.node(i).members->nodes().at(id).state;
+      EXPECT_NE(state, ring::State::kDead) << "at node " << i;
+      suspected |= state == ring::State::kSuspect;
+    }
+  }
+  EXPECT_TRUE(suspected);  // the watcher did accuse
+  world.Cut(accused, watcher, false);
+  Settle(&world, 4000, "after the cut");
+}
+
+TEST(Exchange, TakesOnlyWhatIsNewer) {
+  ring::Membership members({}, {}, 0);
+  news::Exchange exchange({}, &members, 0);
+  auto list = [](uint64_t epoch, uint64_t sequence) {
+    news::CatalogNews news;
+    news.catalog.epoch = epoch;
+    news.catalog.sequence = sequence;
+    news.catalog.servers.resize(1);
+    news.catalog.servers[0].id = std::to_string(epoch) + "." + std::to_string(sequence);
+    return news;
+  };
+  struct Step {
+    uint64_t epoch, sequence;
+    const char* held;
+  } steps[] = {{0, 1, "0.1"}, {0, 1, "0.1"}, {2, 3, "2.3"}, {2, 2, "2.3"},
+               {1, 9, "2.3"}, {2, 4, "2.4"}, {3, 1, "3.1"}, {0, 1, "3.1"}};
+  for (const Step& step : steps) {
+    exchange.OnCatalog(0, {"10.0.0.2", 1}, list(step.epoch, step.sequence));
+    EXPECT_EQ(exchange.catalog().servers[0].id, step.held);
+  }
+  auto config = [&](int64_t revision, int64_t base, const std::string& body) {
+    exchange.OnConfig(0, {"10.0.0.2", 1}, {revision, base, body});
+    return exchange.revision();
+  };
+  EXPECT_EQ(config(4, 0, R"({"revision":4,"route-list":[]})"), 4);
+  EXPECT_EQ(config(3, 0, R"({"revision":3,"route-list":[]})"), 4);
+  EXPECT_EQ(config(6, 4, R"({"revision":6,"upsert":{"route-list":[{"label":"x"}]}})"), 6);
+  EXPECT_NE(exchange.config_text().find("\"label\":\"x\""), std::string::npos);
+  exchange.Take();
+  // A patch on what this node does not have: it asks for the whole instead.
+  EXPECT_EQ(config(9, 8, R"({"revision":9})"), 6);
+  ASSERT_EQ(exchange.Take().pulls.size(), 1u);
+}
+
 TEST(Simulation, ANodeThatMissedNewsGetsItHandedOver) {
   World world({});
   world.Run(2000);
