--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -52,7 +52,7 @@
  public:
   struct Options {
     std::string zone;
-    double far_penalty = 0.6;  // a server elsewhere must be better by so much of a mean latency
+    double far_penalty = 0.6;   // a server elsewhere must be better by so much of a mean latency
     double turn_penalty = 0.3;  // for the last server in this node's own order
     base::Millis hold_first = 400;
     base::Millis hold_most = 6000;
@@ -67,8 +67,8 @@
 
   std::vector<Change> Adopt(base::Millis now, const catalog::Catalog& catalog);
 
-  // This node is number `place` of `places` proxies of its zone. Proxies don't see each other's sends;
-  // each begins its order of the servers at another one, so that their first choices differ.
+  // This node is number `place` of `places` proxies of its zone. Proxies don't see each other's
+  // sends; each begins its order of the servers at another one, so that their first choices differ.
   void SetPlace(size_t place, size_t places);
 
   static constexpr uint32_t kNone = UINT32_MAX;
--- a/src/telemetry/buffer.h
+++ b/src/telemetry/buffer.h
@@ -358,7 +358,8 @@
   struct Free {
     void operator()(uint64_t* storage) const { std::free(storage); }
   };
-  std::vector<std::unique_ptr<uint64_t[], Free>> storages_;  // one more than sub-buffers: the reader's spare
+  std::vector<std::unique_ptr<uint64_t[], Free>>
+      storages_;  // one more than sub-buffers: the reader's spare
   uint32_t spare_;
 };
 
