Take out a voter that stays away; check log level and sink; SIGHUP tested

A voter silent for a minute counted towards every majority for ever unless a replacement stood in its zone. Now it is taken out if three others remain and are heard, and let in again when it returns.

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "base/log.h"
+
 namespace elderkeel::base {
 namespace {
 
@@ -301,6 +303,16 @@
   if (inet_pton(AF_INET, settings.ip.c_str(), &parsed) != 1) {
     return Bad("ip: is not an IPv4 address");
   }
+  if (ParseLogLevel(settings.log_level, LogLevel::kDebug) !=
+      ParseLogLevel(settings.log_level, LogLevel::kError)) {
+    return Bad("elderkeel.log-level: is none of debug, info, warn, error");
+  }
+  if (settings.telemetry_sink != "stdout" && settings.telemetry_sink != "file") {
+    return Bad("elderkeel.telemetry-sink: is none of stdout, file");
+  }
+  if (settings.telemetry_sink == "file" && settings.telemetry_file.empty()) {
+    return Bad("elderkeel.telemetry-file: is missing for the sink 'file'");
+  }
   if (settings.port_first == 0 || settings.port_last < settings.port_first + 1) {
     return Bad("port-range: needs at least two ports");
   }
--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -733,6 +733,18 @@
     propose(std::move(more));
     return;
   }
+  // One that stays away is not waited for: it would count towards every majority. If it comes back
+  // it asks to be taken in again.
+  for (const Member& v : voters_) {
+    if (v.id == self_.id || voters_.size() <= 3) continue;
+    bool others_heard = std::none_of(voters_.begin(), voters_.end(), [&](const Member& other) {
+      return other.id != v.id && silent(other);
+    });
+    if (now - progress_[v.id].heard > timing_.forget_after && others_heard) {
+      propose(without(v.id));
+      return;
+    }
+  }
   // A voter that fell silent where another of its zone already serves only weakens the majority.
   for (const Member& v : voters_) {
     if (!silent(v) || voters_.size() <= 3 || !LiveMajorityWithout(now, v.id)) continue;
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -20,6 +20,8 @@
   base::Millis election = 600;        // one to two times this
   base::Millis first_election = 80;   // one to five times this, until a leader was heard once
   base::Millis replace_after = 2500;  // a silent voter gives way to a waiting replacement
+  base::Millis forget_after =
+      60000;  // so long silent, a voter is taken out if three others are heard
   base::Millis disk_patience = 1500;  // a leader whose disk hangs so long gives up leadership
 };
 
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -250,6 +250,19 @@
            text.find("conclusion  p1 answered 404") != std::string::npos;
   })) << text;
 
+  // Settings that are not valid are logged and the old ones stay; valid ones are taken.
+  std::string settings = Settings("p0", 0, false);
+  std::ofstream(settings, std::ios::app) << "elderkeel.connect-ms=never\n";
+  kill(running_["p0"], SIGHUP);
+  auto logged = [&](const char* text) {
+    return base::ReadFile((dir_ / "p0.log").string())->find(text) != std::string::npos;
+  };
+  EXPECT_TRUE(Eventually([&] { return logged("event=settings.kept step=settings"); }));
+  Settings("p0", 0, false);
+  std::ofstream(settings, std::ios::app) << "elderkeel.connect-ms=300\n";
+  EXPECT_TRUE(Eventually([&] { return logged("event=settings.taken"); }));  // without a signal
+  EXPECT_EQ(Ask(0, "/c/x"), 200);
+
   EXPECT_EQ(Stop("p1", SIGTERM), 0);
   EXPECT_EQ(Stop("c1", SIGTERM), 0);
   EXPECT_EQ(Ask(0, "/c/x"), 200);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -36,6 +36,9 @@
       {"listeners.front=10.1.0.39:99999", "listeners.front: is not an address and port"},
       {"bounds.retry-ratio=-1", "bounds.retry-ratio: is too small"},
       {"elderkeel.poll-ms=1", "elderkeel.poll-ms: is too small"},
+      {"elderkeel.log-level=loud", "elderkeel.log-level: is none of"},
+      {"elderkeel.telemetry-sink=printer", "elderkeel.telemetry-sink: is none of"},
+      {"elderkeel.telemetry-sink=file", "elderkeel.telemetry-file: is missing"},
       {"limits.memory-mb=lots", "limits.memory-mb: has the wrong type"},
       {"seed-list=10.1.0.39:8382,nobody", "seed-list: holds something"},
   };
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -195,6 +195,27 @@
   Settle(&world, 12000, "after the hang");
 }
 
+TEST(Simulation, AControllerThatStaysAwayIsNotCountedForEver) {
+  World::Options options;
+  options.controllers = 4;
+  World world(options);
+  world.Run(4000);
+  world.Change();
+  Settle(&world, 5000, "start");
+  EXPECT_EQ(world.node(0).machine->voters().size(), 4u);
+  size_t gone = static_cast<size_t>((world.leader() + 1) % 4);
+  world.Crash(gone);
+  world.Run(30000);
+  size_t voters = world.node(static_cast<size_t>(world.leader())).machine->voters().size();
+  // Node 3 stands in the zone of node 0, so either of them is no loss; others are waited for.
+  EXPECT_EQ(voters, gone == 0 || gone == 3 ? 3u : 4u);
+  world.Run(35000);
+  EXPECT_EQ(world.node(static_cast<size_t>(world.leader())).machine->voters().size(), 3u);
+  world.Start(gone);
+  Settle(&world, 8000, "after its return");
+  EXPECT_EQ(world.node(gone).machine->voters().size(), 4u);
+}
+
 TEST(Simulation, WhatTheLeaderHasNotSyncedCountsForNothing) {
   World world({});
   world.Run(2000);
