--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -59,10 +59,13 @@
       TEXT("role", role, false),
       TEXT("ip", ip, true),
       TEXT("zone", zone, true),
+      TEXT("region", region, false),
+      TEXT("rollout", rollout, false),
       TEXT("data-dir", data_dir, false),
       ADDRESS("listeners.front", front),
       ADDRESS("listeners.readiness", readiness),
       ADDRESS("listeners.control", control),
+      ADDRESS("listeners.directory", directory),
       ADDRESS("platform.address", platform),
       FLAG("bootstrap", bootstrap),
       WHOLE("limits.memory-mb", memory_mb, 16, 1 << 20),
@@ -77,8 +80,15 @@
       NUMBER("bounds.retry-ratio", retry_ratio, 0, 10),
       NUMBER("bounds.retry-window-s", retry_window_s, 0.1, 3600),
       NUMBER("bounds.retry-slack", retry_slack, 0, 1e6),
+      WHOLE("bounds.evacuate-ms", evacuate_ms, 1, 600000),
+      NUMBER("bounds.warmup-excess", warmup_excess, 0, 100),
+      NUMBER("bounds.warmup-slack", warmup_slack, 0, 1e6),
+      NUMBER("bounds.ttl_max_s", ttl_max_s, 0, 3600),
+      WHOLE("tolerance.machines", tolerance_machines, 0, 1000),
+      WHOLE("tolerance.zones", tolerance_zones, 0, 1000),
+      WHOLE("tolerance.region-list", tolerance_regions, 0, 1000),
       TEXT("elderkeel.log-level", log_level, false),
-      WHOLE("elderkeel.poll-ms", poll_ms, 50, 60000),
+      WHOLE("elderkeel.poll-ms", poll_ms, 0, 60000),
       WHOLE("elderkeel.stale-catalog-ms", stale_catalog_ms, 500, 600000),
       WHOLE("elderkeel.heartbeat-ms", heartbeat_ms, 20, 10000),
       WHOLE("elderkeel.digest-ms", digest_ms, 20, 10000),
@@ -294,11 +304,13 @@
     field.take(&settings, value);
   }
   for (const auto& [name, value] : lines) {
-    if (name.rfind("zones.", 0) == 0) settings.zones.push_back(name.substr(6));
+    if (name.rfind("zones.", 0) == 0) settings.zones[name.substr(6)] = value;
   }
   if (lines.count("seed-list") && settings.seeds.size() != Split(lines["seed-list"], ',').size()) {
     return Bad("seed-list: holds something that is not an address and port");
   }
+  if (settings.region.empty()) settings.region = settings.RegionOf(settings.zone);
+  if (settings.poll_ms > 0 && settings.poll_ms < 50) return Bad("elderkeel.poll-ms: is too small");
   in_addr parsed;
   if (inet_pton(AF_INET, settings.ip.c_str(), &parsed) != 1) {
     return Bad("ip: is not an IPv4 address");
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -2,6 +2,7 @@
 
 #include <rapidjson/document.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -34,10 +35,12 @@
   std::string role;
   std::string ip;
   std::string zone;
+  std::string region;
+  std::string rollout;  // the kind of deployment; empty for the first kind, a gateway
   std::string data_dir;
-  std::vector<std::string> zones;
+  std::map<std::string, std::string> zones;  // each zone's region
   std::vector<Address> seeds;
-  Address front, readiness, control;
+  Address front, readiness, control, directory;
   uint16_t port_first = 0, port_last = 0;
   bool bootstrap = false;
   int64_t memory_mb = 256;
@@ -55,10 +58,19 @@
   double retry_ratio = 0.1;
   double retry_window_s = 10;
   double retry_slack = 10;
+  int64_t evacuate_ms = 5000;
+  double warmup_excess = 1.5;  // a cold server may get so many times its stated rate
+  double warmup_slack = 8;     // and so many requests on top, in any second
+  double ttl_max_s = 5;        // of the directory's answers
+
+  // What may be lost at once without loss of what was acknowledged.
+  int64_t tolerance_machines = 1;
+  int64_t tolerance_zones = 0;
+  int64_t tolerance_regions = 0;
 
   // Ours, with defaults that suit a fleet of tens of nodes in one region.
   std::string log_level = "info";
-  int64_t poll_ms = 750;            // how often the duty holder asks the platform
+  int64_t poll_ms = 0;  // how often the duty holder asks the platform; 0: as `PollMs` says
   int64_t stale_catalog_ms = 6000;  // with no word on the catalog for so long, a node asks itself
   int64_t heartbeat_ms = 250;       // ring heartbeats
   int64_t digest_ms = 400;          // digest exchange with a random peer
@@ -72,6 +84,21 @@
   std::string telemetry_file;
   int64_t telemetry_flush_ms = 500;
 
+  // A change of the list has `drain_ms` from when it can be read until the last proxy must know it.
+  // A third of that goes by until the next reading at worst; a reading that fails has another try.
+  int64_t PollMs() const {
+    return poll_ms > 0 ? poll_ms : std::clamp<int64_t>(drain_ms * 3 / 10, 250, 10000);
+  }
+  std::string RegionOf(const std::string& of_zone) const {
+    auto at = zones.find(of_zone);
+    return at == zones.end() ? std::string() : at->second;
+  }
+  bool many_regions() const {
+    for (const auto& [name, of] : zones) {
+      if (of != zones.begin()->second) return true;
+    }
+    return false;
+  }
   uint16_t ControllerPort() const { return port_first; }
   uint16_t ProxyPort() const { return static_cast<uint16_t>(port_first + 1); }
 };
--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -87,11 +87,29 @@
   return page;
 }
 
-bool SameServers(const std::vector<Server>& a, const std::vector<Server>& b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+bool SameServers(const std::vector<Server>& older, const std::vector<Server>& newer) {
+  return std::equal(older.begin(), older.end(), newer.begin(), newer.end(),
                     [](const Server& x, const Server& y) { return x.Same(y); });
 }
 
+std::vector<std::string> Differences(const std::vector<Server>& older,
+                                     const std::vector<Server>& newer) {
+  std::vector<std::string> ids;
+  auto a = older.begin();
+  auto b = newer.begin();
+  while (a != older.end() || b != newer.end()) {
+    if (b == newer.end() || (a != older.end() && a->id < b->id)) {
+      ids.push_back((a++)->id);
+    } else if (a == older.end() || b->id < a->id) {
+      ids.push_back((b++)->id);
+    } else {
+      if (!a->Same(*b)) ids.push_back(a->id);
+      ++a, ++b;
+    }
+  }
+  return ids;
+}
+
 std::string Reading::Start() {
   active_ = true;
   pages_ = 0;
@@ -118,8 +136,11 @@
   return "/servers?page-token=" + Escape(page->next);
 }
 
-std::vector<Server> Reading::Finish() {
+std::vector<Server> Reading::Finish(base::Millis now) {
   active_ = false;
+  for (Server& server : servers_) {
+    server.warm_at = server.warmup_left_ms > 0 ? now + server.warmup_left_ms : 0;
+  }
   std::sort(servers_.begin(), servers_.end(),
             [](const Server& a, const Server& b) { return a.id < b.id; });
   // A server may move to a later page while the list is read; the last word counts.
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "wire/frame.h"
 
 namespace elderkeel::catalog {
 
@@ -20,17 +21,22 @@
   std::string revision;
   int32_t capacity = 1;
   bool draining = false;
-  int32_t warmup_left_ms = 0;
+  int32_t warmup_left_ms = 0;  // when this was read or sent
+  base::Millis warm_at = 0;    // the same on this process's own clock; not sent
 
-  // The same but for the warm-up, which counts down at every reading.
+  // The same, and not colder than was known: a warm-up that only goes on is no change.
   bool Same(const Server& o) const {
     return id == o.id && service == o.service && address == o.address && zone == o.zone &&
-           capacity == o.capacity && draining == o.draining;
+           capacity == o.capacity && draining == o.draining &&
+           (o.warmup_left_ms == 0 || o.warm_at <= warm_at + kWarmSlackMs);
   }
   template <class A>
   void serialize(A& a) {
-    a(id, service, address, zone, revision, capacity, draining, warmup_left_ms);
+    a(wire::Short(id), wire::Short(service), wire::Short(address), wire::Short(zone), capacity,
+      draining, warmup_left_ms);
   }
+
+  static constexpr base::Millis kWarmSlackMs = 400;
 };
 
 // The list as one holder of the duty read it. `epoch` rises with each holder, `sequence` with each
@@ -38,13 +44,9 @@
 struct Catalog {
   uint64_t epoch = 0;
   uint64_t sequence = 0;
-  std::vector<Server> servers;
+  std::vector<Server> servers;  // by id
 
   bool NewerThan(uint64_t e, uint64_t s) const { return epoch != e ? epoch > e : sequence > s; }
-  template <class A>
-  void serialize(A& a) {
-    a(epoch, sequence, servers);
-  }
 };
 
 struct Page {
@@ -54,8 +56,11 @@
 // A page of the platform's list; an error for anything that is not whole and of the right types.
 base::Result<Page> ParsePage(std::string_view text);
 
-// Whether two readings show the same servers.
-bool SameServers(const std::vector<Server>& a, const std::vector<Server>& b);
+// Whether the newer of two readings shows what the older one showed.
+bool SameServers(const std::vector<Server>& older, const std::vector<Server>& newer);
+// The ids that differ between two readings, both sorted by id.
+std::vector<std::string> Differences(const std::vector<Server>& older,
+                                     const std::vector<Server>& newer);
 
 // Reads the list page by page. Pure: the caller does the calls. A list that could not be read whole
 // is no list.
@@ -64,7 +69,8 @@
   // The target of the first call, or of the next; empty when the reading is complete.
   std::string Start();
   base::Result<std::string> Take(int status, std::string_view body);
-  std::vector<Server> Finish();
+  // What was read; `now` anchors how long servers stay cold.
+  std::vector<Server> Finish(base::Millis now);
   bool active() const { return active_; }
   void Abort() { active_ = false; }
 
--- a/src/catalog/platform.cc
+++ b/src/catalog/platform.cc
@@ -19,7 +19,9 @@
     limits.body_bytes = 16 << 20;
     connection_ = std::make_unique<wire::HttpConnection>(loop_, address_, kTimeoutMs, limits);
   }
+  uint64_t call = ++current_;
   auto fail = [this](base::Error error) {
+    ++current_;  // what a connection that was given up still says belongs to no reading
     timer_.Cancel();
     reading_.Abort();
     if (connection_) {
@@ -33,7 +35,8 @@
     fail(base::Error{"catalog.read", address_.ToString(), "timed out"});
   });
   connection_->Send("GET " + target + " HTTP/1.1\r\nHost: " + address_.ToString() + "\r\n\r\n",
-                    false, [this, fail](wire::HttpConnection::Outcome&& outcome) {
+                    false, [this, fail, call](wire::HttpConnection::Outcome&& outcome) {
+                      if (call != current_) return;
                       timer_.Cancel();
                       if (outcome.ending != wire::HttpConnection::Ending::kAnswer) {
                         fail(base::Error{"catalog.read", address_.ToString(), outcome.reason});
@@ -46,11 +49,13 @@
                       }
                       if (next->empty()) {
                         Done done = std::move(done_);
-                        done(reading_.Finish());
+                        done(reading_.Finish(base::SteadyMillis()));
                         return;
                       }
                       // Not from inside the connection's own callback.
-                      loop_->Defer([this, target = *next] { Call(target); });
+                      loop_->Defer([this, call, target = *next] {
+                        if (call == current_) Call(target);
+                      });
                     });
 }
 
--- a/src/catalog/platform.h
+++ b/src/catalog/platform.h
@@ -31,6 +31,7 @@
   std::unique_ptr<wire::HttpConnection> connection_;
   base::Timer timer_;
   uint64_t calls_ = 0;
+  uint64_t current_ = 0;  // the call whose outcome counts
 };
 
 }  // namespace elderkeel::catalog
--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -65,6 +65,7 @@
             "priority": {"type": "integer", "minimum": 0, "maximum": 1000},
             "max-attempts": {"type": "integer", "minimum": 1, "maximum": 1000},
             "target": {"type": "string", "minLength": 1},
+            "allowed-regions": {"type": "array", "items": {"type": "string", "minLength": 1}},
             "weighted-targets": {"type": "array", "minItems": 1, "items": {
               "type": "object",
               "required": ["target", "weight"],
@@ -80,6 +81,8 @@
             "label": {"type": "string", "minLength": 1},
             "health-path": {"type": "string", "pattern": "^/"},
             "max-conns": {"type": "integer", "minimum": 1, "maximum": 1000000},
+            "warmup-s": {"type": "number", "minimum": 0},
+            "warmup-per-s": {"type": "number", "minimum": 0},
             "protocol": {"enum": ["h1"]},
             "tls": {"enum": [false]}
           }}},
@@ -275,7 +278,8 @@
   return route.targets.back().service;
 }
 
-std::shared_ptr<const Table> Table::Build(std::string_view text, base::Names* names) {
+std::shared_ptr<const Table> Table::Build(std::string_view text, base::Names* names,
+                                          base::Names* regions) {
   Document d;
   if (!ReadInto(text, &d)) return nullptr;
   auto table = std::make_shared<Table>();
@@ -298,6 +302,7 @@
     service.label = s["label"].GetString();
     service.health_path = s.HasMember("health-path") ? s["health-path"].GetString() : "/";
     service.max_conns = static_cast<int>(Whole(s, "max-conns", 64));
+    if (s.HasMember("warmup-per-s")) service.warmup_per_s = s["warmup-per-s"].GetDouble();
     table->known_[index] = true;
   }
   for (const Value& r : d["route-list"].GetArray()) {
@@ -310,6 +315,11 @@
     route.aim_ms = Whole(r, "target-latency-ms", route.timeout_ms);
     route.priority = static_cast<int>(Whole(r, "priority", 0));
     route.max_attempts = static_cast<int>(Whole(r, "max-attempts", 1));
+    if (r.HasMember("allowed-regions")) {
+      for (const Value& region : r["allowed-regions"].GetArray()) {
+        route.regions.push_back(regions->Intern(region.GetString()));
+      }
+    }
     auto add = [&](const char* name, uint32_t weight) {
       if (weight == 0) return;
       route.targets.push_back({names->Intern(name), weight});
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -48,12 +48,14 @@
   int max_attempts = 1;
   std::vector<Target> targets;
   uint64_t weight_sum = 0;
+  std::vector<uint32_t> regions;  // dense; those it may be served in; empty for all
 };
 
 struct Service {
   std::string label;
   std::string health_path;
   int max_conns = 0;
+  double warmup_per_s = 0;  // requests a second that a cold server carries; 0 if not stated
 };
 
 // A configuration made ready for routing. Never changed once built; requests hold on to the one
@@ -73,7 +75,8 @@
   uint32_t Pick(const Route& route, uint64_t key) const;
 
   // From a valid document; names are mapped through `names`, which outlives all tables.
-  static std::shared_ptr<const Table> Build(std::string_view text, base::Names* names);
+  static std::shared_ptr<const Table> Build(std::string_view text, base::Names* names,
+                                            base::Names* regions);
 
  private:
   int64_t revision_ = 0;
--- a/src/configuration/operator_api.cc
+++ b/src/configuration/operator_api.cc
@@ -24,7 +24,7 @@
     answer.body = "{\"revision\":" + std::to_string(state_->revision()) + "}";
   }
   if (status == 503) answer.headers.push_back({"Retry-After", "0.3"});
-  if (status == 405) answer.headers.push_back({"Allow", "GET, PUT, PATCH"});
+  if (status == 405) answer.headers.push_back({"Allow", reason});
   answer_(ticket, answer);
 }
 
@@ -39,27 +39,52 @@
   answer_(ticket, answer);
 }
 
+bool OperatorApi::Understand(const wire::Message& request, Job* job) {
+  if (request.Path().rfind(kEvacuation, 0) == 0) {
+    job->kind = Job::Kind::kOrder;
+    job->order.zone = request.Path().substr(kEvacuation.size());
+    job->order.evacuate = request.method == "POST";
+    if (request.method != "POST" && request.method != "DELETE") {
+      Reply(job->ticket, 405, "POST, DELETE");
+      return false;
+    }
+    if (!log_->HasZone(job->order.zone)) {
+      Reply(job->ticket, 404, "no such zone");
+      return false;
+    }
+    return true;
+  }
+  if (request.method == "GET") return true;
+  job->kind = Job::Kind::kChange;
+  job->change.patch = request.method == "PATCH";
+  if (!job->change.patch && request.method != "PUT") {
+    Reply(job->ticket, 405, "GET, PUT, PATCH");
+    return false;
+  }
+  job->change.if_match = MatchOf(request.Find("If-Match"));
+  if (job->change.if_match < 0) {
+    Reply(job->ticket, 400, "If-Match: is missing or no number");
+    return false;
+  }
+  job->change.body = request.body;
+  return true;
+}
+
+// An order that is in force already needs no entry: it may be one that is sent again.
+Register::Verdict OperatorApi::Judge(const Job& job) const {
+  if (job.kind == Job::Kind::kChange) return state_->Judge(job.change);
+  if (orders_->Evacuated(job.order.zone) == job.order.evacuate) return {200, ""};
+  return {};
+}
+
 void OperatorApi::OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request) {
   Job job;
   job.ticket = ticket;
-  job.get = request.method == "GET";
-  job.change.patch = request.method == "PATCH";
-  if (!job.get && !job.change.patch && request.method != "PUT") {
-    Reply(ticket, 405, "GET, PUT or PATCH");
-    return;
-  }
+  if (!Understand(request, &job)) return;
   if (!log_->leading()) {
     Elsewhere(ticket, request.target);
     return;
   }
-  if (!job.get) {
-    job.change.if_match = MatchOf(request.Find("If-Match"));
-    if (job.change.if_match < 0) {
-      Reply(ticket, 400, "If-Match: is missing or no number");
-      return;
-    }
-    job.change.body = request.body;
-  }
   if (jobs_.size() >= kMaxJobs) {
     Reply(ticket, 503, "too many calls at once");
     return;
@@ -92,7 +117,7 @@
       ++at;
       continue;
     }
-    if (job.get) {
+    if (job.kind == Job::Kind::kRead) {
       if (state_->empty()) {
         Reply(job.ticket, 404, "no configuration yet");
       } else {
@@ -110,13 +135,14 @@
       ++at;  // one change at a time: its verdict would rest on an entry that is not committed
       continue;
     }
-    Register::Verdict verdict = state_->Judge(job.change);
+    Register::Verdict verdict = Judge(job);
     if (verdict.status != 0) {
       Reply(job.ticket, verdict.status, verdict.reason);
       at = jobs_.erase(at);
       continue;
     }
-    auto index = log_->Propose(job.change);
+    auto index =
+        job.kind == Job::Kind::kOrder ? log_->Propose(job.order) : log_->Propose(job.change);
     if (!index) {
       Reply(job.ticket, 503, "the log takes nothing now");
       at = jobs_.erase(at);
@@ -134,7 +160,7 @@
   in_flight_.reset();
   auto at = jobs_.find(token);
   if (at != jobs_.end()) {
-    Register::Verdict verdict = state_->Judge(at->second.change);
+    Register::Verdict verdict = Judge(at->second);
     uint64_t ticket = at->second.ticket;
     jobs_.erase(at);
     Reply(ticket, ours && verdict.status != 0 ? verdict.status : 503,
--- a/src/configuration/operator_api.h
+++ b/src/configuration/operator_api.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "configuration/register.h"
+#include "evacuation/orders.h"
 #include "wire/http.h"
 
 namespace elderkeel::configuration {
@@ -25,6 +26,9 @@
   virtual bool Read(uint64_t token) = 0;
   // The index of the entry; Applied(index) follows if it is committed.
   virtual std::optional<uint64_t> Propose(const Change& change) = 0;
+  virtual std::optional<uint64_t> Propose(const evacuation::Order& order) = 0;
+  // Whether there is such a zone.
+  virtual bool HasZone(const std::string& zone) const = 0;
 };
 
 // The operator's interface. Changes are taken one at a time: a verdict never rests on an entry that
@@ -34,10 +38,18 @@
  public:
   using Answer = std::function<void(uint64_t ticket, const wire::Message&)>;
 
-  OperatorApi(Log* log, const Register* state, Answer answer, base::Millis patience = 850)
-      : log_(log), state_(state), answer_(std::move(answer)), patience_(patience) {}
+  OperatorApi(Log* log, const Register* state, const evacuation::Orders* orders, Answer answer,
+              base::Millis patience = 850)
+      : log_(log),
+        state_(state),
+        orders_(orders),
+        answer_(std::move(answer)),
+        patience_(patience) {}
 
-  static bool Owns(std::string_view path) { return path == "/elderkeel/config"; }
+  static bool Owns(std::string_view path) {
+    return path == "/elderkeel/config" || path.rfind(kEvacuation, 0) == 0;
+  }
+  static constexpr std::string_view kEvacuation = "/elderkeel/evacuation/";
 
   void OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request);
   void ReadDone(base::Millis now, uint64_t token, bool confirmed);
@@ -51,18 +63,23 @@
  private:
   struct Job {
     uint64_t ticket = 0;
-    bool get = false;
+    enum class Kind { kRead, kChange, kOrder } kind = Kind::kRead;
     bool confirmed = false;
     Change change;
+    evacuation::Order order;
     base::Millis deadline = 0;
   };
 
   void Serve(base::Millis now);
   void Reply(uint64_t ticket, int status, const std::string& reason);
+  // Fills in the job of a request; false if the request was answered at once.
+  bool Understand(const wire::Message& request, Job* job);
+  Register::Verdict Judge(const Job& job) const;
   void Elsewhere(uint64_t ticket, const std::string& target);
 
   Log* log_;
   const Register* state_;
+  const evacuation::Orders* orders_;
   Answer answer_;
   base::Millis patience_;
   uint64_t next_token_ = kFirstToken;
--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -28,6 +28,8 @@
 Machine::Machine(Options options, Restored restored, base::Millis now)
     : self_(std::move(options.self)),
       timing_(options.timing),
+      tolerance_(options.tolerance),
+      regions_(std::move(options.regions)),
       random_(options.seed),
       founders_(std::move(options.founders)),
       now_(now) {
@@ -442,15 +444,42 @@
   Post(p->member.address(), std::move(m), false);
 }
 
-void Machine::AdvanceCommit(base::Millis now) {
-  std::vector<Index> matches;
+Index Machine::Synced(const Member& voter) const {
+  if (voter.id == self_.id) return persisted_;
+  auto at = progress_.find(voter.id);
+  return at == progress_.end() ? 0 : at->second.match;
+}
+
+// A majority decides; what it decided must also outlive the loss that is tolerated. Both matter: of
+// five voters with two that may be lost three copies are enough, of three they are all needed.
+bool Machine::EnoughCopies(Index index) const {
+  size_t copies = 0;
+  std::set<std::string> zones, regions, all_zones, all_regions;
   for (const Member& v : voters_) {
-    auto at = progress_.find(v.id);
-    matches.push_back(v.id == self_.id ? persisted_ : at == progress_.end() ? 0 : at->second.match);
+    std::string zone = ZoneOf(v);
+    auto at = regions_.find(zone);
+    const std::string& region = at == regions_.end() ? zone : at->second;
+    all_zones.insert(zone);
+    all_regions.insert(region);
+    if (Synced(v) < index) continue;
+    ++copies;
+    zones.insert(zone);
+    regions.insert(region);
   }
+  return copies >= std::max(Majority(), std::min(tolerance_.machines + 1, voters_.size())) &&
+         zones.size() >= std::min(tolerance_.zones + 1, all_zones.size()) &&
+         regions.size() >= std::min(tolerance_.regions + 1, all_regions.size());
+}
+
+void Machine::AdvanceCommit(base::Millis now) {
+  std::vector<Index> matches;
+  for (const Member& v : voters_) matches.push_back(Synced(v));
   if (matches.empty()) return;
   std::sort(matches.rbegin(), matches.rend());
-  Index index = matches[Majority() - 1];
+  size_t place = Majority() - 1;
+  while (place < matches.size() && !EnoughCopies(matches[place])) ++place;
+  if (place == matches.size()) return;
+  Index index = matches[place];
   if (index > commit_ && TermAt(index) == term_) {
     bool first = TermAt(commit_) != term_;
     commit_ = index;
@@ -734,9 +763,10 @@
     return;
   }
   // One that stays away is not waited for: it would count towards every majority. If it comes back
-  // it asks to be taken in again.
+  // it asks to be taken in again. But a cut is no loss: where every voter is needed for what is
+  // tolerated, it stays.
   for (const Member& v : voters_) {
-    if (v.id == self_.id || voters_.size() <= 3) continue;
+    if (v.id == self_.id || voters_.size() <= FewestVoters()) continue;
     bool others_heard = std::none_of(voters_.begin(), voters_.end(), [&](const Member& other) {
       return other.id != v.id && silent(other);
     });
@@ -745,16 +775,6 @@
       return;
     }
   }
-  // A voter that fell silent where another of its zone already serves only weakens the majority.
-  for (const Member& v : voters_) {
-    if (!silent(v) || voters_.size() <= 3 || !LiveMajorityWithout(now, v.id)) continue;
-    for (const Member& other : voters_) {
-      if (other.id != v.id && ZoneOf(other) == ZoneOf(v) && !silent(other)) {
-        propose(without(v.id));
-        return;
-      }
-    }
-  }
 }
 
 void Machine::Transfer(base::Millis now) {
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -20,11 +20,17 @@
   base::Millis election = 600;        // one to two times this
   base::Millis first_election = 80;   // one to five times this, until a leader was heard once
   base::Millis replace_after = 2500;  // a silent voter gives way to a waiting replacement
-  base::Millis forget_after =
-      60000;  // so long silent, a voter is taken out if three others are heard
+  base::Millis forget_after = 20000;  // so long silent, a voter that is not needed is taken out
   base::Millis disk_patience = 1500;  // a leader whose disk hangs so long gives up leadership
 };
 
+// What may be lost at once, disks included, without losing what is committed.
+struct Tolerance {
+  size_t machines = 0;
+  size_t zones = 0;
+  size_t regions = 0;
+};
+
 // The replicated log as a pure state machine: time, messages and finished writes in; messages,
 // writes and committed entries out. It touches no socket, disk or clock.
 class Machine {
@@ -34,6 +40,8 @@
     uint64_t cluster = 0;
     std::vector<Member> founders;  // the first voters; empty for a process that joins
     Timing timing;
+    Tolerance tolerance;
+    std::map<std::string, std::string> regions;  // of zones
     uint64_t seed = 1;
   };
   struct Outgoing {
@@ -114,6 +122,10 @@
   Term TermAt(Index index) const;
   const Entry* At(Index index) const;
   size_t Majority() const { return voters_.size() / 2 + 1; }
+  // So few voters can still lose what is tolerated and have a majority left.
+  size_t FewestVoters() const { return std::max<size_t>(3, 2 * tolerance_.machines + 1); }
+  bool EnoughCopies(Index index) const;
+  Index Synced(const Member& voter) const;
   void RefreshVoters();
   Index LastVotersIndex() const;
 
@@ -153,6 +165,8 @@
 
   Member self_;
   Timing timing_;
+  Tolerance tolerance_;
+  std::map<std::string, std::string> regions_;
   std::map<std::string, std::string> zones_;
   base::Random random_;
   Role role_ = Role::kFollower;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -15,8 +15,12 @@
 constexpr size_t kCompactAfter = 96;  // entries in memory before the log is cut
 }  // namespace
 
-Replica::Replica(base::Loop* loop, Options options, Hooks hooks)
-    : loop_(loop), options_(std::move(options)), hooks_(std::move(hooks)) {}
+Replica::Replica(base::Loop* loop, Hooks hooks) : loop_(loop), hooks_(std::move(hooks)) {}
+
+bool Replica::HasStore(const std::string& data_dir) {
+  std::error_code ignored;
+  return !data_dir.empty() && std::filesystem::exists(data_dir + "/log/CURRENT", ignored);
+}
 
 void Replica::Start() {
   Open(true);
@@ -74,6 +78,8 @@
   Machine::Options machine;
   machine.self = options_.self;
   machine.timing = options_.timing;
+  machine.tolerance = options_.tolerance;
+  machine.regions = options_.regions;
   machine.seed = base::SystemSeed();
   if (founder) {
     machine.founders = options_.founders;
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -20,6 +20,8 @@
     bool bootstrap = false;
     std::string data_dir;  // empty: the log is held in memory
     Timing timing;
+    Tolerance tolerance;
+    std::map<std::string, std::string> regions;  // of zones
   };
   struct Hooks {
     std::function<void(const base::Address&, const Message&)> send;
@@ -31,8 +33,11 @@
     std::function<void()> role_changed;
   };
 
-  Replica(base::Loop* loop, Options options, Hooks hooks);
+  Replica(base::Loop* loop, Hooks hooks);
+  void SetOptions(Options options) { options_ = std::move(options); }
 
+  // Whether a store was ever begun there.
+  static bool HasStore(const std::string& data_dir);
   // Opens the store and begins; hooks are called from here on, not before.
   void Start();
 
@@ -42,6 +47,7 @@
   void Join(const Member& member);
   void Transfer();
   void NoteZone(const std::string& ip, const std::string& zone) { machine_->NoteZone(ip, zone); }
+  bool started() const { return machine_ != nullptr; }
   const Machine& machine() const { return *machine_; }
   Member self() const { return machine_->self(); }
 
--- a/src/controller/control_state.h
+++ b/src/controller/control_state.h
@@ -5,13 +5,14 @@
 
 #include "configuration/register.h"
 #include "duty/duty.h"
+#include "evacuation/orders.h"
 #include "wire/frame.h"
 
 namespace elderkeel::controller {
 
 // What an entry of the log changes.
 struct Command {
-  enum class Kind : uint8_t { kConfiguration, kDuty };
+  enum class Kind : uint8_t { kConfiguration, kDuty, kEvacuation };
   Kind kind = Kind::kConfiguration;
   std::string payload;
   template <class A>
@@ -24,8 +25,9 @@
 struct ControlState {
   configuration::Register configuration;
   duty::Duty duty;
+  evacuation::Orders orders;
 
-  enum class Effect { kNone, kConfiguration, kDuty };
+  enum class Effect { kNone, kConfiguration, kDuty, kEvacuation };
   Effect Apply(const std::string& data) {
     auto command = wire::Decode<Command>(data);
     if (!command) return Effect::kNone;
@@ -33,6 +35,10 @@
       auto change = wire::Decode<configuration::Change>(command->payload);
       return change && configuration.Apply(*change) ? Effect::kConfiguration : Effect::kNone;
     }
+    if (command->kind == Command::Kind::kEvacuation) {
+      auto order = wire::Decode<evacuation::Order>(command->payload);
+      return order && orders.Apply(*order) ? Effect::kEvacuation : Effect::kNone;
+    }
     auto named = wire::Decode<duty::Duty>(command->payload);
     if (!named || named->epoch <= duty.epoch) return Effect::kNone;
     duty = *named;
@@ -41,7 +47,19 @@
 
   template <class A>
   void serialize(A& a) {
-    a(configuration, duty);
+    a(configuration, duty, orders);
+  }
+
+  // From a snapshot; those of before there were evacuations end earlier.
+  static std::optional<ControlState> Read(const std::string& bytes) {
+    if (auto state = wire::Decode<ControlState>(bytes)) return state;
+    struct Before {
+      ControlState state;
+      void serialize(cereal::BinaryInputArchive& a) { a(state.configuration, state.duty); }
+    };
+    auto before = wire::Decode<Before>(bytes);
+    if (!before) return std::nullopt;
+    return std::move(before->state);
   }
 };
 
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr base::Millis kTickMs = 50;
+constexpr base::Millis kBeginMs = 20;
 constexpr base::Millis kJoinEveryMs = 400;
 constexpr base::Millis kHolderPatienceMs = 1000;
 constexpr base::Millis kPlatformPatienceMs = 3000;
@@ -35,7 +36,7 @@
       assignment_(kHolderPatienceMs),
       life_(base::SystemSeed() | 1) {}
 
-consensus::Replica::Options Controller::ReplicaOptions() const {
+consensus::Replica::Options Controller::ReplicaOptions(std::vector<base::Address> founders) const {
   consensus::Replica::Options options;
   options.self.ip = settings_.ip;
   options.self.port = settings_.ControllerPort();
@@ -46,15 +47,20 @@
   options.data_dir = settings_.data_dir;
   options.timing.heartbeat = settings_.raft_heartbeat_ms;
   options.timing.election = settings_.election_ms;
+  options.tolerance.machines = static_cast<size_t>(settings_.tolerance_machines);
+  options.tolerance.zones = static_cast<size_t>(settings_.tolerance_zones);
+  options.tolerance.regions = static_cast<size_t>(settings_.tolerance_regions);
+  options.regions = settings_.zones;
   std::vector<std::string> names;
-  for (const base::Address& seed : settings_.seeds) {
+  for (const base::Address& seed : settings_.seeds) names.push_back(seed.ToString());
+  for (const base::Address& founder : founders) {
     consensus::Member member;
-    member.ip = seed.ip;
+    member.ip = founder.ip;
     member.port = settings_.ControllerPort();
     member.id = FounderId(member.address());
-    member.control = seed.ToString();
+    member.control = founder.ToString();
+    if (const ring::Node* node = fleet_->members().Find(member.address())) member.zone = node->zone;
     options.founders.push_back(member);
-    names.push_back(seed.ToString());
   }
   std::sort(options.founders.begin(), options.founders.end(),
             [](const auto& a, const auto& b) { return a.id < b.id; });
@@ -65,13 +71,77 @@
   return options;
 }
 
+// The founders are those of the seeds that have a disk, or all if none has: a vote that a loss of
+// power forgets is no vote. All seeds are up at the first start, and whether a machine has a disk
+// does not change, so every founder comes to the same list. Any other process joins.
+bool Controller::Begin() {
+  if (replica_->started()) return true;
+  bool seed = std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.control) !=
+              settings_.seeds.end();
+  if (settings_.bootstrap && seed && !consensus::Replica::HasStore(settings_.data_dir)) {
+    std::vector<base::Address> durable, all = settings_.seeds;
+    for (const base::Address& address : all) {
+      const ring::Node* node = fleet_->members().Find({address.ip, settings_.ControllerPort()});
+      if (!node) return false;
+      if (node->durable) durable.push_back(address);
+    }
+    replica_->SetOptions(ReplicaOptions(durable.empty() ? all : durable));
+  } else {
+    replica_->SetOptions(ReplicaOptions({}));
+  }
+  replica_->Start();
+  for (const auto& [id, node] : fleet_->members().nodes()) replica_->NoteZone(node.ip, node.zone);
+  return true;
+}
+
+bool Controller::HasZone(const std::string& zone) const {
+  if (settings_.zones.count(zone)) return true;
+  for (const catalog::Server& server : fleet_->news().catalog().servers) {
+    if (server.zone == zone) return true;
+  }
+  return false;
+}
+
+// The nearest controller with a disk that is in sight.
+std::optional<base::Address> Controller::DurableNeighbour() const {
+  std::optional<base::Address> best;
+  int best_distance = 4;
+  for (const ring::Node* node : fleet_->members().Others()) {
+    if (!node->durable) continue;
+    int distance =
+        (node->zone == settings_.zone ? 0 : 2) + (node->state == ring::State::kAlive ? 0 : 1);
+    if (distance < best_distance) {
+      best_distance = distance;
+      best = node->address();
+    }
+  }
+  return best;
+}
+
+bool Controller::Idle() const {
+  return settings_.data_dir.empty() && DurableNeighbour().has_value();
+}
+
+void Controller::SendOn(wire::HttpServer::Ticket ticket, const std::string& target) {
+  auto to = DurableNeighbour();
+  wire::Message answer = wire::OwnAnswer(to ? 307 : 503, "this controller has no part in the log");
+  if (to) {
+    // All controllers take the operator at the same port.
+    answer.headers.push_back(
+        {"Location", "http://" + to->ip + ":" + std::to_string(settings_.control.port) + target});
+  } else {
+    answer.headers.push_back({"Retry-After", "0.3"});
+  }
+  control_->Answer(ticket, answer);
+}
+
 base::Result<bool> Controller::Start() {
   news::Fleet::Hooks hooks;
   hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
     OnMessage(from, kind, payload);
   };
   hooks.node_changed = [this](const ring::Node& node) {
-    if (replica_) replica_->NoteZone(node.ip, node.zone);
+    if (replica_ && replica_->started()) replica_->NoteZone(node.ip, node.zone);
     Note("node." + std::string(ring::StateName(node.state)), node.address().ToString());
   };
   fleet_ = std::make_unique<news::Fleet>(loop_, settings_, ring::Program::kController, hooks);
@@ -83,20 +153,26 @@
   log.apply = [this](const consensus::Entry& entry) { Applied(entry); };
   log.caught_up = [this] {
     if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
+    fleet_->Commit(state_.orders);
   };
   log.install = [this](const consensus::Snapshot& snapshot) {
     ControlState state;
     if (!snapshot.state.empty()) {
-      if (auto decoded = wire::Decode<ControlState>(snapshot.state)) state = std::move(*decoded);
+      if (auto decoded = ControlState::Read(snapshot.state)) {
+        state = std::move(*decoded);
+      } else {
+        base::Warn("snapshot.unread", {{"index", snapshot.index}});
+      }
     }
     state_ = std::move(state);
     if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
+    fleet_->Commit(state_.orders);
   };
   log.snapshot_state = [this] { return wire::Encode(state_); };
   log.read_done = [this](uint64_t token, bool ok) { ReadDone(token, ok); };
   log.role_changed = [this] { RoleChanged(); };
   operator_ = std::make_unique<configuration::OperatorApi>(
-      this, &state_.configuration,
+      this, &state_.configuration, &state_.orders,
       [this](uint64_t ticket, const wire::Message& answer) { control_->Answer(ticket, answer); });
   wire::HttpServer::Options server;
   server.limits = [] {
@@ -110,10 +186,27 @@
         OnRequest(ticket, std::move(request));
       });
   platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
-  replica_ = std::make_unique<consensus::Replica>(loop_, ReplicaOptions(), std::move(log));
-  replica_->Start();
+  replica_ = std::make_unique<consensus::Replica>(loop_, std::move(log));
   auto started = fleet_->Start();
   if (!started) return started;
+  Begin();
+  begin_.Repeat(loop_, kBeginMs, [this] {
+    if (Begin()) begin_.Cancel();
+  });
+  if (settings_.directory.port != 0) {
+    directory::Directory::Options resolution;
+    directory_ = std::make_unique<directory::Directory>(resolution, &fleet_->members(),
+                                                        base::SystemSeed(), base::SteadyMillis());
+    wire::HttpServer::Options directory_options;
+    directory_options.limits = [] { return wire::Limits(); };
+    directory_options.max_connections = static_cast<size_t>(settings_.max_fds / 4);
+    directory_server_ = std::make_unique<wire::HttpServer>(
+        loop_, directory_options, [this](wire::HttpServer::Ticket ticket, wire::Message&& request) {
+          directory_server_->Answer(ticket, directory_->Answer(base::SteadyMillis(), request));
+        });
+    auto serving = directory_server_->Listen(settings_.directory);
+    if (!serving) return serving;
+  }
   auto listening = control_->Listen(settings_.control);
   if (!listening) return listening;
   watch_ = std::make_unique<readiness::SettingsWatch>(
@@ -143,6 +236,14 @@
 void Controller::OnRequest(wire::HttpServer::Ticket ticket, wire::Message&& request) {
   base::Millis now = base::SteadyMillis();
   if (configuration::OperatorApi::Owns(request.Path())) {
+    if (Idle()) {
+      SendOn(ticket, request.target);
+      return;
+    }
+    if (!replica_->started()) {
+      control_->Answer(ticket, wire::OwnAnswer(503, "this controller has only just started"));
+      return;
+    }
     operator_->OnRequest(now, ticket, request);
   } else if (request.Path() == "/elderkeel/status") {
     if (request.method == "GET") {
@@ -161,6 +262,7 @@
 
 void Controller::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
   base::Millis now = base::SteadyMillis();
+  if (!replica_->started()) return;
   switch (kind) {
     case wire::Kind::kConsensus:
       if (auto m = wire::Decode<consensus::Message>(payload)) replica_->Receive(*m, from);
@@ -168,6 +270,9 @@
     case wire::Kind::kJoin: {
       auto member = wire::Decode<consensus::Member>(payload);
       if (!member) break;
+      // A log on disks takes in nobody who has none.
+      const ring::Node* node = fleet_->members().Find(member->address());
+      if (!settings_.data_dir.empty() && (!node || !node->durable)) break;
       if (leading()) {
         replica_->Join(*member);
       } else if (auto leader = replica_->machine().leader();
@@ -210,6 +315,9 @@
   if (auto leader = replica_->machine().leader(); leader && !leading()) {
     reply.leader_ip = leader->ip;
     reply.leader_port = leader->port;
+  } else if (auto neighbour = DurableNeighbour(); neighbour && !leading()) {
+    reply.leader_ip = neighbour->ip;
+    reply.leader_port = neighbour->port;
   }
   fleet_->mesh().Send(from, wire::Kind::kConfirmReply, reply);
 }
@@ -246,6 +354,14 @@
       poll_at_ = 0;
       WatchPlatform(base::SteadyMillis());
       break;
+    case ControlState::Effect::kEvacuation: {
+      std::string zones;
+      for (const std::string& zone : state_.orders.zones())
+        zones += (zones.empty() ? "" : ",") + zone;
+      base::Info("evacuation.changed", {{"version", state_.orders.version()}, {"zones", zones}});
+      Note("evacuation.changed", zones.empty() ? "no zone" : zones);
+      break;
+    }
     case ControlState::Effect::kNone:
       break;
   }
@@ -264,7 +380,8 @@
 }
 
 bool Controller::HoldsDuty() const {
-  return state_.duty.holder != 0 && state_.duty.holder == replica_->self().id;
+  return replica_->started() && state_.duty.holder != 0 &&
+         state_.duty.holder == replica_->self().id;
 }
 
 std::vector<duty::Candidate> Controller::Candidates(base::Millis now) const {
@@ -279,6 +396,7 @@
 
 void Controller::Tick() {
   base::Millis now = base::SteadyMillis();
+  if (!replica_->started()) return;
   operator_->Tick(now);
   FinishInquiries(now);
   SeekMembership(now);
@@ -289,7 +407,7 @@
 // A controller that no leader speaks to asks to be taken in, wherever it can.
 void Controller::SeekMembership(base::Millis now) {
   const consensus::Machine& m = replica_->machine();
-  if (leaving_ || m.leading() || now < join_at_) return;
+  if (leaving_ || m.leading() || now < join_at_ || Idle()) return;
   bool heard = m.leader_heard() != 0 && now - m.leader_heard() < settings_.election_ms * 2;
   if (heard) return;
   join_at_ = now + kJoinEveryMs;
@@ -325,11 +443,11 @@
 }
 
 void Controller::WatchPlatform(base::Millis now) {
-  if (leaving_ || platform_->busy()) return;
+  if (leaving_ || platform_->busy() || Idle()) return;
   if (!fleet_->news().has_catalog() && now >= poll_at_) {
     // Nobody has told this node of any list, as after a loss of the whole fleet. Its zone need not
     // wait for a holder: a reading without an epoch gives way to the first one that has one.
-    poll_at_ = now + settings_.poll_ms;
+    poll_at_ = now + settings_.PollMs();
     platform_->Read([this](base::Result<std::vector<catalog::Server>> read) {
       if (!read) {
         base::Warn("catalog.unread", read.error());
@@ -358,7 +476,7 @@
     Resign(now, "the platform can't be read");
   }
   if (now < poll_at_) return;
-  poll_at_ = now + settings_.poll_ms;
+  poll_at_ = now + settings_.PollMs();
   platform_->Read([this](base::Result<std::vector<catalog::Server>> read) {
     if (!read) {
       base::Warn("catalog.unread", read.error());
@@ -387,9 +505,10 @@
   base::Info("controller.leaving");
   if (HoldsDuty()) Resign(now, "leaving");
   leaving_ = true;
+  if (directory_server_) directory_server_->SetLeaving(true);
   // The duty's entry goes out before leadership does.
   leave_.Start(loop_, HoldsDuty() && leading() ? 150 : 0, [this] {
-    replica_->Transfer();
+    if (replica_->started()) replica_->Transfer();
     fleet_->Leave();
     control_->SetLeaving(true);
     leave_.Start(loop_, kLeaveMs, [this] {
@@ -411,6 +530,10 @@
 }
 
 void Controller::Ask(wire::HttpServer::Ticket ticket, const diagnosis::Question& question) {
+  if (!replica_->started()) {
+    control_->Answer(ticket, wire::OwnAnswer(503, "this controller has only just started"));
+    return;
+  }
   if (inquiries_.size() >= kMaxInquiries) {
     control_->Answer(ticket, wire::OwnAnswer(503, "too many questions at once"));
     return;
@@ -487,6 +610,14 @@
   }
   w.EndArray();
   number("revision", state_.configuration.revision());
+  w.Key("evacuation");
+  w.StartObject();
+  number("version", static_cast<int64_t>(fleet_->news().orders().version()));
+  w.Key("zones");
+  w.StartArray();
+  for (const std::string& zone : fleet_->news().orders().zones()) w.String(zone.c_str());
+  w.EndArray();
+  w.EndObject();
   w.Key("duty");
   w.StartObject();
   number("epoch", static_cast<int64_t>(state_.duty.epoch));
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -10,6 +10,7 @@
 #include "consensus/replica.h"
 #include "controller/control_state.h"
 #include "diagnosis/diagnosis.h"
+#include "directory/directory.h"
 #include "duty/duty.h"
 #include "news/confirm.h"
 #include "news/fleet.h"
@@ -36,15 +37,26 @@
   };
 
   // configuration::Log
-  bool settled() const override { return replica_->machine().settled(); }
-  bool leading() const override { return replica_->machine().leading(); }
+  bool settled() const override { return replica_->started() && replica_->machine().settled(); }
+  bool leading() const override { return replica_->started() && replica_->machine().leading(); }
   std::optional<std::string> leader_control() const override;
   bool Read(uint64_t token) override { return replica_->Read(token); }
   std::optional<uint64_t> Propose(const configuration::Change& change) override {
     return replica_->Propose(MakeCommand(Command::Kind::kConfiguration, change));
   }
 
-  consensus::Replica::Options ReplicaOptions() const;
+  std::optional<uint64_t> Propose(const evacuation::Order& order) override {
+    return replica_->Propose(MakeCommand(Command::Kind::kEvacuation, order));
+  }
+  bool HasZone(const std::string& zone) const override;
+
+  consensus::Replica::Options ReplicaOptions(std::vector<base::Address> founders) const;
+  // The log begins once it is known which of the seeds have a disk; true if it has begun.
+  bool Begin();
+  // Without a disk, where others have one: it has no part in the log and sends callers on.
+  bool Idle() const;
+  std::optional<base::Address> DurableNeighbour() const;
+  void SendOn(wire::HttpServer::Ticket ticket, const std::string& target);
   void OnRequest(wire::HttpServer::Ticket ticket, wire::Message&& request);
   void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
   void OnConfirm(const base::Address& from, const news::Confirm& confirm);
@@ -74,10 +86,13 @@
   std::unique_ptr<consensus::Replica> replica_;
   std::unique_ptr<configuration::OperatorApi> operator_;
   std::unique_ptr<wire::HttpServer> control_;
+  std::unique_ptr<directory::Directory> directory_;
+  std::unique_ptr<wire::HttpServer> directory_server_;
   std::unique_ptr<catalog::Platform> platform_;
   std::unique_ptr<readiness::SettingsWatch> watch_;
   duty::Assignment assignment_;
   base::Timer tick_;
+  base::Timer begin_;
   base::Timer leave_;
 
   struct Asked {
--- /dev/null
+++ b/src/directory/directory.cc
@@ -0,0 +1,159 @@
+#include "directory/directory.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+
+namespace elderkeel::directory {
+namespace {
+
+constexpr size_t kMaxValue = 256;
+// A place that has lost more than this part of its proxies is helped out by the next wider one.
+constexpr size_t kHelpNumerator = 2, kHelpDenominator = 3;
+
+int HexDigit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
+
+// False for a malformed escape, or a value that can be no name.
+bool Unescape(std::string_view text, std::string* out) {
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%') {
+      if (i + 2 >= text.size()) return false;
+      int high = HexDigit(text[i + 1]), low = HexDigit(text[i + 2]);
+      if (high < 0 || low < 0) return false;
+      out->push_back(static_cast<char>(high * 16 + low));
+      i += 2;
+    } else {
+      out->push_back(text[i]);
+    }
+  }
+  return out->size() <= kMaxValue && std::all_of(out->begin(), out->end(), [](unsigned char c) {
+           return c > 0x20 && c != 0x7f;
+         });
+}
+
+}  // namespace
+
+base::Result<Resolution> Resolution::Parse(std::string_view query) {
+  Resolution resolution;
+  auto bad = [](const std::string& why) { return base::Error{"resolution", "", why}; };
+  while (!query.empty()) {
+    size_t end = query.find('&');
+    std::string_view pair = query.substr(0, end);
+    query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+    size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return bad("malformed query");
+    std::string_view key = pair.substr(0, equals);
+    std::string* value = key == "label"    ? &resolution.label
+                         : key == "region" ? &resolution.region
+                         : key == "zone"   ? &resolution.zone
+                                           : nullptr;
+    if (!value) continue;  // new fields may appear
+    if (!value->empty()) return bad(std::string(key) + ": stands twice");
+    if (!Unescape(pair.substr(equals + 1), value)) return bad(std::string(key) + ": is malformed");
+  }
+  if (resolution.label.empty()) return bad("label: is missing");
+  if (resolution.region.empty() && resolution.zone.empty()) return bad("region, zone: are missing");
+  return resolution;
+}
+
+std::vector<const ring::Node*> Directory::Choose(base::Millis now, const Resolution& resolution) {
+  // Rings of places, near ones first: the zone, its region, everywhere. A zone that is not known is
+  // judged by the region; with neither known, everywhere is as near.
+  std::string region = members_->RegionOf(resolution.zone);
+  if (region.empty()) region = resolution.region;
+  struct Place {
+    std::vector<const ring::Node*> good, doubtful, lost;
+    size_t known = 0;
+  } places[3];
+  for (const auto& [id, node] : members_->nodes()) {
+    if (node.program != ring::Program::kProxy || node.front == 0) continue;
+    if (node.state == ring::State::kLeft) continue;
+    Place& place = places[node.zone == resolution.zone              ? 0
+                          : members_->RegionOf(node.zone) == region ? 1
+                                                                    : 2];
+    ++place.known;
+    if (node.state == ring::State::kAlive && node.ready) {
+      place.good.push_back(&node);
+    } else if (node.reachable()) {
+      place.doubtful.push_back(&node);
+    } else {
+      place.lost.push_back(&node);
+    }
+  }
+  std::vector<const ring::Node*> chosen;
+  auto take = [&](std::vector<const ring::Node*>* from, size_t most) {
+    for (size_t i = 0; i < most && !from->empty() && chosen.size() < options_.most; ++i) {
+      size_t pick = random_.Below(from->size());
+      chosen.push_back((*from)[pick]);
+      (*from)[pick] = from->back();
+      from->pop_back();
+    }
+  };
+  // What a crushed zone lacks is borrowed, as many as it has lost, from those next to it; so it
+  // gets its clients back one by one, as its proxies return.
+  size_t lacking = 0;
+  for (Place& place : places) {
+    size_t have = place.good.size();
+    bool first = chosen.empty();
+    take(&place.good, first ? options_.most : lacking);
+    if (first && have > 0) {
+      bool crushed = have * kHelpDenominator < place.known * kHelpNumerator;
+      lacking = crushed ? place.known - have : 0;
+    } else {
+      lacking -= std::min(lacking, have);
+    }
+    if (!chosen.empty() && lacking == 0) break;
+  }
+  if (chosen.empty() && now - started_ < options_.patience) return chosen;
+  // Doubtful knowledge: what was last known to serve is better than nothing.
+  for (auto kind : {&Place::doubtful, &Place::lost}) {
+    for (Place& place : places) {
+      if (chosen.empty()) take(&(place.*kind), options_.most);
+    }
+  }
+  return chosen;
+}
+
+wire::Message Directory::Answer(base::Millis now, const wire::Message& request) {
+  if (request.Path() != kPath) return wire::OwnAnswer(404, "no such path");
+  if (request.method != "GET") {
+    wire::Message answer = wire::OwnAnswer(405, "GET only");
+    answer.headers.push_back({"Allow", "GET"});
+    return answer;
+  }
+  size_t query = request.target.find('?');
+  auto resolution = Resolution::Parse(
+      query == std::string::npos ? "" : std::string_view(request.target).substr(query + 1));
+  if (!resolution) return wire::OwnAnswer(400, resolution.error().reason);
+  std::vector<const ring::Node*> chosen = Choose(now, *resolution);
+  if (chosen.empty()) {
+    wire::Message answer = wire::OwnAnswer(503, "no proxy is known yet");
+    answer.headers.push_back({"Retry-After", "0.2"});
+    return answer;
+  }
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+  w.StartObject();
+  w.Key("address-list");
+  w.StartArray();
+  for (const ring::Node* node : chosen) {
+    w.String(base::Address{node->ip, node->front}.ToString().c_str());
+  }
+  w.EndArray();
+  w.Key("ttl-s");
+  w.Int64(options_.ttl_s);
+  w.EndObject();
+  wire::Message answer;
+  answer.status = 200;
+  answer.headers.push_back({"Content-Type", "application/json"});
+  answer.body = std::string(buffer.GetString(), buffer.GetSize());
+  return answer;
+}
+
+}  // namespace elderkeel::directory
--- /dev/null
+++ b/src/directory/directory.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "ring/membership.h"
+#include "wire/http.h"
+
+namespace elderkeel::directory {
+
+// Where a client stands and which host it wants, from the query of its call.
+struct Resolution {
+  std::string label;
+  std::string region;
+  std::string zone;
+
+  static base::Result<Resolution> Parse(std::string_view query);
+};
+
+// Tells clients where to go: the front addresses of proxies that can serve, near ones first. Folded
+// from the membership at each call; pure but for the order in which addresses are drawn.
+class Directory {
+ public:
+  struct Options {
+    size_t most = 64;              // addresses in an answer
+    int64_t ttl_s = 1;             // of an answer
+    base::Millis patience = 1000;  // a directory just started waits so long to hear of its zone
+  };
+
+  Directory(Options options, const ring::Membership* members, uint64_t seed, base::Millis now)
+      : options_(options), members_(members), random_(seed), started_(now) {}
+
+  static constexpr std::string_view kPath = "/elderkeel/resolution";
+  wire::Message Answer(base::Millis now, const wire::Message& request);
+
+  // The nodes to name; empty only if no proxy is known, or too little was heard as yet.
+  std::vector<const ring::Node*> Choose(base::Millis now, const Resolution& resolution);
+
+ private:
+  Options options_;
+  const ring::Membership* members_;
+  base::Random random_;
+  base::Millis started_;
+};
+
+}  // namespace elderkeel::directory
--- /dev/null
+++ b/src/evacuation/orders.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <algorithm>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace elderkeel::evacuation {
+
+// An operator's word about one zone.
+struct Order {
+  std::string zone;
+  bool evacuate = true;  // false: the zone is taken back
+  template <class A>
+  void serialize(A& a) {
+    a(zone, evacuate);
+  }
+};
+
+// Which zones are emptied by order, folded from the log. The version rises with each order that
+// changes something, so that of two views the newer is known by it.
+class Orders {
+ public:
+  // True if it changed something.
+  bool Apply(const Order& order) {
+    auto at = std::lower_bound(zones_.begin(), zones_.end(), order.zone);
+    bool there = at != zones_.end() && *at == order.zone;
+    if (there == order.evacuate) return false;
+    if (order.evacuate) {
+      zones_.insert(at, order.zone);
+    } else {
+      zones_.erase(at);
+    }
+    ++version_;
+    return true;
+  }
+  bool Evacuated(const std::string& zone) const {
+    return std::binary_search(zones_.begin(), zones_.end(), zone);
+  }
+  uint64_t version() const { return version_; }
+  const std::vector<std::string>& zones() const { return zones_; }
+
+  template <class A>
+  void serialize(A& a) {
+    a(version_, zones_);
+  }
+
+ private:
+  uint64_t version_ = 0;
+  std::vector<std::string> zones_;  // sorted
+};
+
+}  // namespace elderkeel::evacuation
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -19,6 +19,9 @@
 constexpr base::Millis kProbeTimeoutMs = 1000;
 constexpr base::Millis kLeastMs = 2;
 constexpr size_t kMaxQueued = 512;
+constexpr size_t kPipeline = 8;             // requests of one connection under way at once
+constexpr base::Millis kFreshMs = 300;      // servers may forget a connection idle for longer
+constexpr base::Millis kSpreadMs = 1500;    // beyond reading the list: until its news is here
 constexpr size_t kStreamBytes = 256 << 10;  // of a streamed answer that the client has not taken
 constexpr double kMeanWeight = 0.05;
 constexpr double kSecondReserve = 1.0;  // budget left for failures by sends that are only late
@@ -26,6 +29,7 @@
 constexpr const char* kRemaining = "Elderkeel-Remaining-Ms";
 constexpr const char* kExpected = "Elderkeel-Expected-Server";
 constexpr const char* kSeal = "Elderkeel-Server-Seal";
+constexpr const char* kWarmup = "Elderkeel-Warmup-Ms";
 constexpr const char* kNotExecuted = "Elderkeel-Not-Executed";
 constexpr const char* kRetryAfter = "0.1";
 constexpr const char* kStartRetryAfter = "0.4";  // for a node that has only just started
@@ -38,9 +42,12 @@
 }
 
 wire::HttpServer::Options ServerOptions(const base::Settings& settings,
-                                        std::function<wire::Limits()> limits) {
+                                        std::function<wire::Limits()> limits,
+                                        std::function<bool(const Message&)> may_overtake) {
   wire::HttpServer::Options options;
   options.limits = std::move(limits);
+  options.pipeline = kPipeline;
+  options.may_overtake = std::move(may_overtake);
   options.notice_sleep = true;
   // Half of the descriptors for clients, the rest for servers and other nodes.
   options.max_connections = static_cast<size_t>(std::max<int64_t>(64, settings.max_fds / 2));
@@ -58,14 +65,17 @@
           [&] {
             Servers::Options options;
             options.zone = settings.zone;
+            options.region = settings.region;
+            options.regions = settings.zones;
             return options;
           }(),
-          &services_, base::SystemSeed()),
+          &services_, &regions_, base::SystemSeed()),
       budget_(BudgetBounds(settings)),
-      server_(
-          loop,
-          ServerOptions(settings, [this] { return table_ ? table_->limits() : wire::Limits(); }),
-          [this](Ticket ticket, Message&& request) { OnRequest(ticket, std::move(request)); }) {
+      server_(loop,
+              ServerOptions(
+                  settings, [this] { return table_ ? table_->limits() : wire::Limits(); },
+                  [this](const Message& request) { return MayOvertake(request); }),
+              [this](Ticket ticket, Message&& request) { OnRequest(ticket, std::move(request)); }) {
   server_.OnGone([this](Ticket ticket) { OnGone(ticket); });
   server_.OnDrained([this](Ticket ticket) {
     auto at = exchanges_.find(ticket);
@@ -105,6 +115,8 @@
     if (means_[index] == 0) means_[index] = static_cast<double>(route.aim_ms) / 3;
   }
   for (uint32_t i = 0; i < services_.size(); ++i) {
+    const configuration::Service* service = table_->service(i);
+    servers_.SetWarmup(i, service ? service->warmup_per_s : 0);
     recorder_->names().Set(telemetry::NameBook::kService, i, services_.Name(i));
   }
   telemetry::ControlRecord record;
@@ -115,7 +127,7 @@
 
 void Front::Adopt(const catalog::Catalog& catalog) {
   has_catalog_ = true;
-  for (const Servers::Change& change : servers_.Adopt(base::SteadyMillis(), catalog)) {
+  for (const Servers::Change& change : servers_.Adopt(catalog)) {
     telemetry::ControlRecord record;
     record.server = change.server;
     if (change.what == Servers::Change::What::kNew) {
@@ -127,18 +139,43 @@
                       ? telemetry::ControlRecord::What::kDraining
                       : telemetry::ControlRecord::What::kGone;
     recorder_->Control(record);
-    // Nothing new goes there: what lies idle is let go.
-    if (change.server < pools_.size()) {
-      for (auto& connection : pools_[change.server].idle) {
-        Discard(change.server, std::move(connection));
-      }
-      pools_[change.server].idle.clear();
-    }
+    DropIdle(change.server);
   }
   pools_.resize(servers_.size());
   for (uint32_t i = 0; i < queues_.size(); ++i) PumpQueue(i);
 }
 
+// Nothing new goes there: what lies idle is let go.
+void Front::DropIdle(uint32_t server) {
+  if (server >= pools_.size()) return;
+  std::vector<std::unique_ptr<wire::HttpConnection>> idle;
+  idle.swap(pools_[server].idle);
+  for (auto& connection : idle) Discard(server, std::move(connection));
+}
+
+void Front::Adopt(const evacuation::Orders& orders) {
+  base::Millis doubt = settings_.PollMs() + settings_.platform_lag_ms + kSpreadMs;
+  servers_.SetEvacuated(base::SteadyMillis(), orders.zones(), doubt);
+  for (uint32_t i = 0; i < servers_.size(); ++i) {
+    if (servers_.at(i).emptied) DropIdle(i);
+  }
+  for (uint32_t i = 0; i < queues_.size(); ++i) PumpQueue(i);
+}
+
+// What may run only once is never begun ahead of its turn: were an answer before it to end the
+// connection, the client could not know whether it ran.
+bool Front::MayOvertake(const Message& request) const {
+  const std::string* host = request.Find("Host");
+  const configuration::Route* route =
+      table_ && host ? table_->Match(*host, request.Path()) : nullptr;
+  return route && route->idempotent;
+}
+
+uint32_t Front::ChooseFor(base::Millis now, const Exchange& x) {
+  return servers_.Choose(now, x.service, MeanOf(x.route_index), x.tried, x.route->idempotent,
+                         x.route->regions);
+}
+
 double& Front::MeanOf(uint32_t route) {
   if (route >= means_.size()) means_.resize(route + 1, 100);
   return means_[route];
@@ -188,6 +225,7 @@
   x->request = std::move(request);
   x->table = table_;
   x->route = route;
+  x->route_index = routes_.Find(route->label);
   x->attempt = std::move(attempt);
   x->service = table_->Pick(*route, base::Hash(x->attempt));
   x->arrived_ns = base::SteadyNanos();
@@ -207,10 +245,9 @@
     return;
   }
   if (x->ledger.arrivals() == 0) {
-    uint32_t server = servers_.Choose(now, x->service, MeanOf(routes_.Find(x->route->label)),
-                                      x->tried, x->route->idempotent);
+    uint32_t server = ChooseFor(now, *x);
     if (server != Servers::kNone && SendTo(x, server)) return;
-    if (!servers_.Any(x->service)) {
+    if (!servers_.Any(x->service, x->route->regions)) {
       GiveUp(x, Step::kAdmission, "the service has no server", false);
     } else if (now >= x->wait_until) {
       GiveUp(x, Step::kWait, "no server had room in time", false);
@@ -220,8 +257,7 @@
     return;
   }
   // A further send: chosen at once or not at all.
-  uint32_t server = servers_.Choose(now, x->service, MeanOf(routes_.Find(x->route->label)),
-                                    x->tried, x->route->idempotent);
+  uint32_t server = ChooseFor(now, *x);
   if (server == Servers::kNone || !budget_.Spend(x->service)) {
     After(x);
     return;
@@ -239,7 +275,7 @@
     base::Millis idle = now - c.idle_since();
     // What may run only once keeps off connections that may be closing, or may still bring bytes
     // that belong to no request.
-    if (!idempotent && (idle > keep / 2 || idle < kSettledMs)) continue;
+    if (!idempotent && (idle > std::min(keep / 2, kFreshMs) || idle < kSettledMs)) continue;
     auto connection = std::move(pool.idle[i]);
     pool.idle.erase(pool.idle.begin() + static_cast<long>(i));
     if (connection->Usable()) return connection;
@@ -341,6 +377,14 @@
   servers_.Begin(now, server);
   Ticket ticket = x->ticket;
   uint64_t id = send.id;
+  connection->Expect(kAttempt, x->attempt);
+  connection->OnStray([this, ticket] {
+    // Its own answer may follow; what may be repeated need not wait for it.
+    auto at = exchanges_.find(ticket);
+    if (at == exchanges_.end() || at->second->second_at == 0) return;
+    at->second->second_at = base::SteadyMillis();
+    Arm(at->second.get());
+  });
   connection->OnLarge([this, ticket, id](const Message& so_far, int64_t length) {
     return Stream(ticket, id, so_far, length);
   });
@@ -351,7 +395,7 @@
   send.connection = std::move(connection);
   x->sends.push_back(std::move(send));
   if (settings_.second_sends && x->route->idempotent && x->ledger.MaySend() && x->second_at == 0) {
-    double mean = MeanOf(routes_.Find(x->route->label));
+    double mean = MeanOf(x->route_index);
     base::Millis late =
         std::max<base::Millis>(static_cast<base::Millis>(mean * 2), x->route->aim_ms / 2);
     x->second_at = now + late;
@@ -381,16 +425,7 @@
   x->streaming = id;
   x->second_at = 0;
   // Whatever else is out for this request is not needed any more.
-  for (size_t i = 0; i < x->sends.size();) {
-    if (x->sends[i].id == id) {
-      ++i;
-      continue;
-    }
-    Send other = std::move(x->sends[i]);
-    x->sends.erase(x->sends.begin() + static_cast<long>(i));
-    servers_.Abandon(other.server, other.begun);
-    Discard(other.server, std::move(other.connection));
-  }
+  DropSends(x, id);
   server_.WriteBody(ticket, so_far.body);
   return [this, ticket](std::string_view bytes) {
     server_.WriteBody(ticket, bytes);
@@ -411,7 +446,7 @@
   Send send = std::move(*at);
   x->sends.erase(at);
   base::Millis now = base::SteadyMillis();
-  double& mean = MeanOf(routes_.Find(x->route->label));
+  double& mean = MeanOf(x->route_index);
   double latency = static_cast<double>(now - send.begun);
   x->last_server = send.server;
 
@@ -536,7 +571,7 @@
   record.SetAttempt(x.attempt);
   record.SetReason(reason);
   record.revision = x.table->revision();
-  record.route = routes_.Find(x.route->label);
+  record.route = x.route_index;
   record.service = x.service;
   record.server = x.last_server;
   record.total_us = static_cast<uint32_t>((base::SteadyNanos() - x.arrived_ns) / 1000);
@@ -547,10 +582,14 @@
   recorder_->Request(record, failed);
 }
 
-void Front::DropSends(Exchange* x) {
+void Front::DropSends(Exchange* x, uint64_t except) {
   std::vector<Send> sends = std::move(x->sends);
   x->sends.clear();
   for (Send& send : sends) {
+    if (send.id == except) {
+      x->sends.push_back(std::move(send));
+      continue;
+    }
     servers_.Abandon(send.server, send.begun);
     Discard(send.server, std::move(send.connection));
   }
@@ -611,11 +650,10 @@
 void Front::SecondSend(Exchange* x) {
   x->second_at = 0;
   if (x->sends.size() != 1 || !x->ledger.MaySend()) return;
-  if (budget_.saved(x->service) < 1 + kSecondReserve) return;
-  uint32_t server = servers_.Choose(base::SteadyMillis(), x->service,
-                                    MeanOf(routes_.Find(x->route->label)), x->tried, true);
+  uint32_t server = ChooseFor(base::SteadyMillis(), *x);
   if (server == Servers::kNone || servers_.at(server).in_flight > 0) return;
-  if (SendTo(x, server)) budget_.Spend(x->service);
+  if (!budget_.Spend(x->service, kSecondReserve)) return;
+  if (!SendTo(x, server)) budget_.Return(x->service);
   x->second_at = 0;
 }
 
@@ -645,10 +683,9 @@
   // What can't be placed stays; others behind it may still find a server that it has tried.
   for (auto at = queue.begin(); at != queue.end();) {
     Exchange* x = *at++;
-    uint32_t server = servers_.Choose(now, service, MeanOf(routes_.Find(x->route->label)), x->tried,
-                                      x->route->idempotent);
+    uint32_t server = ChooseFor(now, *x);
     if (server == Servers::kNone) {
-      if (x->route->idempotent) return;
+      if (x->route->idempotent && x->route->regions.empty()) return;
       continue;
     }
     if (!SendTo(x, server)) return;
@@ -690,7 +727,11 @@
                 const std::string* id = outcome.answer.Find("Elderkeel-Server-Id");
                 bool good = outcome.ending == wire::HttpConnection::Ending::kAnswer &&
                             outcome.answer.status == 200 && id && *id == servers_.at(server).id;
-                servers_.Probed(base::SteadyMillis(), server, good);
+                base::Millis now = base::SteadyMillis();
+                if (const std::string* left = outcome.answer.Find(kWarmup); good && left) {
+                  servers_.NoteWarmup(now, server, std::max<int64_t>(0, wire::ParseDecimal(*left)));
+                }
+                servers_.Probed(now, server, good);
                 telemetry::ControlRecord record;
                 record.what = telemetry::ControlRecord::What::kProbe;
                 record.server = server;
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -11,6 +11,7 @@
 #include "budget/budget.h"
 #include "catalog/catalog.h"
 #include "configuration/document.h"
+#include "evacuation/orders.h"
 #include "forwarding/ledger.h"
 #include "forwarding/servers.h"
 #include "telemetry/recorder.h"
@@ -28,10 +29,15 @@
   base::Result<bool> Listen();
   void Adopt(std::shared_ptr<const configuration::Table> table);
   void Adopt(const catalog::Catalog& catalog);
+  void Adopt(const evacuation::Orders& orders);
   // Proxies in sight, this one included: they share budgets and the servers' connections.
   void SetProxies(size_t proxies);
   // Which one of its zone's proxies this is.
   void SetPlace(size_t place, size_t places) { servers_.SetPlace(place, places); }
+  // This one's id and those of its zone's proxies.
+  void SetPeers(uint64_t self, std::vector<uint64_t> peers) {
+    servers_.SetPeers(self, std::move(peers));
+  }
   // Until both a configuration and a catalog are there, requests get 503.
   bool able() const { return table_ != nullptr && has_catalog_; }
 
@@ -43,6 +49,7 @@
   void FinishAll();
 
   base::Names* names() { return &services_; }
+  base::Names* regions() { return &regions_; }
   int64_t revision() const { return table_ ? table_->revision() : 0; }
 
  private:
@@ -62,6 +69,7 @@
     wire::Message request;
     std::shared_ptr<const configuration::Table> table;  // pinned when the head was read
     const configuration::Route* route = nullptr;
+    uint32_t route_index = 0;
     uint32_t service = 0;
     std::string attempt;
     int64_t arrived_ns = 0;
@@ -101,7 +109,8 @@
   void Finish(Exchange* x, const wire::Message& answer, telemetry::Step step,
               const std::string& reason, bool failed);
   void GiveUp(Exchange* x, telemetry::Step step, const std::string& reason, bool deadline);
-  void DropSends(Exchange* x);
+  // Gives up what is in flight, but for one.
+  void DropSends(Exchange* x, uint64_t except = 0);
   void Erase(Exchange* x);
   void Queue(Exchange* x);
   void Unqueue(Exchange* x);
@@ -123,7 +132,12 @@
   base::Loop* loop_;
   const base::Settings& settings_;
   telemetry::Recorder* recorder_;
+  bool MayOvertake(const wire::Message& request) const;
+  uint32_t ChooseFor(base::Millis now, const Exchange& x);
+  void DropIdle(uint32_t server);
+
   base::Names services_;
+  base::Names regions_;
   base::Names routes_;
   std::shared_ptr<const configuration::Table> table_;
   bool has_catalog_ = false;
--- a/src/forwarding/servers.cc
+++ b/src/forwarding/servers.cc
@@ -11,7 +11,7 @@
 constexpr double kWarmPenalty = 1.0;  // a server that is not warm counts as twice as slow
 }  // namespace
 
-std::vector<Servers::Change> Servers::Adopt(base::Millis now, const catalog::Catalog& catalog) {
+std::vector<Servers::Change> Servers::Adopt(const catalog::Catalog& catalog) {
   std::vector<Change> changes;
   std::vector<bool> seen(servers_.size(), false);
   for (const catalog::Server& entry : catalog.servers) {
@@ -26,10 +26,15 @@
       s.id = entry.id;
       s.service = services_->Intern(entry.service);
       s.address = *address;
+      s.zone = zones_.Intern(entry.zone);
+      auto region = options_.regions.find(entry.zone);
+      s.region = regions_->Intern(region == options_.regions.end() ? entry.zone : region->second);
       s.near = entry.zone == options_.zone;
+      s.far = !options_.region.empty() && regions_->Name(s.region) != options_.region;
+      s.emptied = std::binary_search(evacuated_.begin(), evacuated_.end(), entry.zone);
       s.capacity = entry.capacity;
       s.limit = entry.capacity;
-      s.warm_at = now + std::max(0, entry.warmup_left_ms);
+      s.ours = Owns(s);
       changes.push_back({index, Change::What::kNew});
     }
     seen[index] = true;
@@ -38,6 +43,8 @@
     s.capacity = entry.capacity;
     if (entry.draining && !s.draining) changes.push_back({index, Change::What::kDraining});
     s.draining = entry.draining;
+    // The list may lag behind what the server itself said; the later end counts.
+    s.warm_at = std::max(s.warm_at, entry.warm_at);
   }
   for (uint32_t i = 0; i < servers_.size(); ++i) {
     if (!seen[i] && servers_[i].listed) {
@@ -69,7 +76,7 @@
     for (bool near : {true, false}) {
       open.clear();
       for (uint32_t i : service) {
-        if (servers_[i].listed && !servers_[i].draining && servers_[i].near == near) {
+        if (servers_[i].Usable() && servers_[i].near == near) {
           open.push_back(i);
         }
       }
@@ -85,16 +92,74 @@
   }
 }
 
-bool Servers::Any(uint32_t service) const {
+void Servers::SetPeers(uint64_t self, std::vector<uint64_t> peers) {
+  if (self == self_ && peers == peers_) return;
+  self_ = self;
+  peers_ = std::move(peers);
+  NameOwners();
+}
+
+// The owner of a cold server is the proxy of this zone that draws the highest number for it: all
+// who see the same proxies name the same one, and one more or less moves few.
+bool Servers::Owns(const Server& s) const {
+  if (!s.near) return false;
+  uint64_t key = base::Hash(s.id);
+  uint64_t ours = base::Random(key ^ self_).Next();
+  return std::none_of(peers_.begin(), peers_.end(), [&](uint64_t peer) {
+    return peer != self_ && base::Random(key ^ peer).Next() > ours;
+  });
+}
+
+void Servers::NameOwners() {
+  for (Server& s : servers_) {
+    if (s.listed) s.ours = Owns(s);
+  }
+}
+
+void Servers::SetEvacuated(base::Millis now, const std::vector<std::string>& zones,
+                           base::Millis doubt) {
+  evacuated_ = zones;
+  for (Server& s : servers_) {
+    bool emptied = std::binary_search(zones.begin(), zones.end(), zones_.Name(s.zone));
+    if (s.emptied && !emptied) s.warm_at = std::max(s.warm_at, now + doubt);
+    s.emptied = emptied;
+  }
+}
+
+void Servers::SetWarmup(uint32_t service, double per_s) {
+  if (service >= warmup_per_s_.size()) warmup_per_s_.resize(service + 1, 0);
+  warmup_per_s_[service] = per_s;
+}
+
+void Servers::NoteWarmup(base::Millis now, uint32_t server, base::Millis left) {
+  Server& s = servers_[server];
+  s.warm_at = std::max(s.warm_at, now + left);
+}
+
+// The allowance of a cold server grows at the rate that it carries, and saves up to one send.
+void Servers::Refill(base::Millis now, Server* s) const {
+  double grown = static_cast<double>(now - s->allowed_at) / 1000 * PerSecond(s->service);
+  s->allowance = std::min(1.0, s->allowance + std::max(0.0, grown));
+  s->allowed_at = now;
+}
+
+namespace {
+bool Allowed(const Server& s, const std::vector<uint32_t>& regions) {
+  return regions.empty() || std::find(regions.begin(), regions.end(), s.region) != regions.end();
+}
+}  // namespace
+
+bool Servers::Any(uint32_t service, const std::vector<uint32_t>& regions) const {
   if (service >= by_service_.size()) return false;
   for (uint32_t i : by_service_[service]) {
-    if (servers_[i].listed && !servers_[i].draining) return true;
+    if (servers_[i].Usable() && Allowed(servers_[i], regions)) return true;
   }
   return false;
 }
 
 uint32_t Servers::Choose(base::Millis now, uint32_t service, double mean_ms,
-                         const std::vector<uint32_t>& tried, bool idempotent) {
+                         const std::vector<uint32_t>& tried, bool idempotent,
+                         const std::vector<uint32_t>& regions) {
   if (service >= by_service_.size()) return kNone;
   mean_ms = std::max(1.0, mean_ms);
   uint32_t best = kNone;
@@ -103,8 +168,14 @@
   auto consider = [&](bool held_too) {
     for (uint32_t i : by_service_[service]) {
       Server& s = servers_[i];
-      if (!s.listed || s.draining) continue;
+      if (!s.Usable() || !Allowed(s, regions)) continue;
       if (std::find(tried.begin(), tried.end(), i) != tried.end()) continue;
+      if (Cold(now, s)) {
+        // What all nodes together may send to it is one node's to give.
+        if (!s.ours) continue;
+        Refill(now, &s);
+        if (s.allowance < 1) continue;
+      }
       if (!held_too) {
         if (!s.Open()) continue;
         // A server just let back shows itself with what may be repeated.
@@ -120,6 +191,9 @@
       }
       double score = pace * (1 + static_cast<double>(s.in_flight) / s.capacity);
       if (!s.near) score += options_.far_penalty;
+      if (s.far) {
+        score += options_.region_penalty + static_cast<double>(options_.region_ms) / mean_ms;
+      }
       score += options_.turn_penalty * s.turn;
       score += random_.Unit() * kChance;
       if (best == kNone || score < best_score) {
@@ -138,6 +212,7 @@
   Server& s = servers_[server];
   ++s.in_flight;
   s.begun.push_back(now);
+  if (Cold(now, s)) s.allowance -= 1;
 }
 
 void Servers::Remove(uint32_t server, base::Millis begun) {
@@ -194,7 +269,7 @@
   for (const auto& service : by_service_) {
     for (uint32_t i : service) {
       Server& s = servers_[i];
-      if (s.draining || s.probing || s.on_trial) continue;
+      if (s.draining || s.emptied || s.probing || s.on_trial) continue;
       if (s.held_until == 0 || now < s.held_until) continue;
       s.probing = true;
       due.push_back(i);
--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,18 @@
   std::string id;
   uint32_t service = 0;
   base::Address address;
-  bool near = false;  // in this node's zone
+  uint32_t zone = 0;
+  uint32_t region = 0;
+  bool near = false;     // in this node's zone
+  bool far = false;      // in another region
+  bool emptied = false;  // its zone is evacuated
   int capacity = 1;
   bool listed = false;
   bool draining = false;
   base::Millis warm_at = 0;  // slow until then
+  bool ours = true;          // while it is cold, this node is the one that may send to it
+  double allowance = 0;      // sends that it may get while cold, as of `allowed_at`
+  base::Millis allowed_at = 0;
 
   double turn = 0;  // 0 to 1: how late it comes in this node's own order of its zone's servers
 
@@ -36,7 +44,8 @@
   bool probing = false;
   bool on_trial = false;
 
-  bool Open() const { return listed && !draining && held_until == 0; }
+  bool Usable() const { return listed && !draining && !emptied; }
+  bool Open() const { return Usable() && held_until == 0; }
 };
 
 enum class Signal : uint8_t {
@@ -52,8 +61,12 @@
  public:
   struct Options {
     std::string zone;
-    double far_penalty = 0.6;   // a server elsewhere must be better by so much of a mean latency
-    double turn_penalty = 0.3;  // for the last server in this node's own order
+    std::string region;
+    std::map<std::string, std::string> regions;  // of zones
+    double far_penalty = 0.6;     // a server elsewhere must be better by so much of a mean latency
+    double region_penalty = 1.5;  // the same, on top, for one in another region
+    base::Millis region_ms = 0;   // what the way to another region and back may take
+    double turn_penalty = 0.3;    // for the last server in this node's own order
     base::Millis hold_first = 400;
     base::Millis hold_most = 6000;
   };
@@ -62,21 +75,34 @@
     enum class What : uint8_t { kNew, kDraining, kGone } what;
   };
 
-  Servers(Options options, base::Names* services, uint64_t seed)
-      : options_(std::move(options)), services_(services), random_(seed) {}
+  Servers(Options options, base::Names* services, base::Names* regions, uint64_t seed)
+      : options_(std::move(options)), services_(services), regions_(regions), random_(seed) {}
 
-  std::vector<Change> Adopt(base::Millis now, const catalog::Catalog& catalog);
+  std::vector<Change> Adopt(const catalog::Catalog& catalog);
 
   // This node is number `place` of `places` proxies of its zone. Proxies don't see each other's
   // sends; each begins its order of the servers at another one, so that their first choices differ.
   void SetPlace(size_t place, size_t places);
 
+  // The ids of this zone's proxies, this one's included, and its own: who may send to a cold server
+  // follows from them.
+  void SetPeers(uint64_t self, std::vector<uint64_t> peers);
+  // Zones emptied by order. Servers of one taken back may have turned cold meanwhile: they are held
+  // for cold for `doubt`, until a newer list says more.
+  void SetEvacuated(base::Millis now, const std::vector<std::string>& zones, base::Millis doubt);
+  // Requests a second that a cold server of the service carries; 0: it only counts as slower.
+  void SetWarmup(uint32_t service, double per_s);
+  // The server says how much longer it is cold; known before the list tells it.
+  void NoteWarmup(base::Millis now, uint32_t server, base::Millis left);
+
   static constexpr uint32_t kNone = UINT32_MAX;
   // The best server of the service that has room, or kNone. `mean_ms`: of the route's latency.
+  // `regions`: the only ones allowed, if there are any.
   uint32_t Choose(base::Millis now, uint32_t service, double mean_ms,
-                  const std::vector<uint32_t>& tried, bool idempotent);
+                  const std::vector<uint32_t>& tried, bool idempotent,
+                  const std::vector<uint32_t>& regions);
   // Whether any server of the service could take a request, now or when it has room again.
-  bool Any(uint32_t service) const;
+  bool Any(uint32_t service, const std::vector<uint32_t>& regions) const;
 
   void Begin(base::Millis now, uint32_t server);
   // `latency_ms` < 0 where it tells nothing.
@@ -95,9 +121,24 @@
   void Remove(uint32_t server, base::Millis begun);
   void Hold(base::Millis now, Server* s);
   void OrderServers();
+  void NameOwners();
+  bool Owns(const Server& s) const;
+  bool Cold(base::Millis now, const Server& s) const {
+    return now < s.warm_at && PerSecond(s.service) > 0;
+  }
+  double PerSecond(uint32_t service) const {
+    return service < warmup_per_s_.size() ? warmup_per_s_[service] : 0;
+  }
+  void Refill(base::Millis now, Server* s) const;
 
   Options options_;
   base::Names* services_;
+  base::Names* regions_;
+  base::Names zones_;
+  std::vector<std::string> evacuated_;
+  std::vector<double> warmup_per_s_;  // by service
+  uint64_t self_ = 0;
+  std::vector<uint64_t> peers_;
   base::Random random_;
   base::Names ids_;
   std::vector<Server> servers_;
--- a/src/news/exchange.cc
+++ b/src/news/exchange.cc
@@ -4,9 +4,14 @@
 
 namespace elderkeel::news {
 namespace {
-constexpr size_t kFanOut = 3;  // of the node that news starts from in a zone
+constexpr size_t kFanOut = 4;  // of the node that news starts from in a zone
 constexpr size_t kPassOn = 2;  // of a node that heard it from another
-constexpr base::Millis kPullGap = 100;
+constexpr base::Millis kPullGap = 250;
+constexpr base::Millis kSentLately = 500;  // something large is not sent twice in so long
+constexpr size_t kSmall = 4096;            // bytes that may be sent to a peer unasked
+constexpr size_t kSmallServers = 48;       // changed servers that may be sent unasked
+constexpr size_t kHistory = 64;            // steps of the list that are remembered
+constexpr size_t kTouchedLimit = 2048;     // servers that all these steps may name
 }  // namespace
 
 Exchange::Exchange(Options options, const ring::Membership* members, base::Millis now)
@@ -23,7 +28,8 @@
   digest.revision = revision_;
   digest.epoch = catalog_.epoch;
   digest.sequence = catalog_.sequence;
-  digest.catalog_age_ms = catalog_age(now);
+  digest.evacuation = orders_.version();
+  digest.catalog_age_ms = static_cast<int32_t>(std::min<base::Millis>(catalog_age(now), INT32_MAX));
   return digest;
 }
 
@@ -42,78 +48,162 @@
   out_.digests.push_back({from[random_.Below(from.size())]->address(), digest});
 }
 
+void Exchange::AskFor(base::Millis now, const base::Address& from, bool whole_config) {
+  if (now < pull_at_) return;
+  pull_at_ = now + kPullGap;
+  // Asking as one that has nothing brings the whole document.
+  out_.pulls.push_back({from, Pull{whole_config ? 0 : revision_, catalog_.epoch, catalog_.sequence,
+                                   orders_.version(), exact_}});
+}
+
 void Exchange::OnDigest(base::Millis now, const base::Address& from, const Digest& digest) {
   if (digest.epoch == catalog_.epoch && digest.sequence == catalog_.sequence && has_catalog() &&
       digest.catalog_age_ms >= 0) {
     read_at_ = std::max(read_at_, now - digest.catalog_age_ms);
   }
-  bool they_miss_config = digest.revision < revision_;
-  bool they_miss_catalog = has_catalog() && catalog_.NewerThan(digest.epoch, digest.sequence);
   bool we_miss = digest.revision > revision_ || (digest.catalog_age_ms >= 0 && !has_catalog()) ||
-                 digest.epoch > catalog_.epoch ||
+                 digest.epoch > catalog_.epoch || digest.evacuation > orders_.version() ||
                  (digest.epoch == catalog_.epoch && digest.sequence > catalog_.sequence);
-  if (they_miss_config) SendConfig(from, digest.revision);
-  if (they_miss_catalog) SendCatalog(now, from);
-  if (we_miss && now >= pull_at_) {
-    pull_at_ = now + kPullGap;
-    out_.pulls.push_back({from, Pull{revision_, catalog_.epoch, catalog_.sequence}});
+  bool told = false;
+  if (digest.revision < revision_) told |= !SendConfig(now, from, digest.revision, false);
+  if (has_catalog() && catalog_.NewerThan(digest.epoch, digest.sequence)) {
+    told |= !SendCatalog(now, from, digest.epoch, digest.sequence, true, false);
   }
-  if (digest.answer) out_.digests.push_back({from, OwnDigest(now)});
+  if (digest.evacuation < orders_.version()) out_.evacuations.push_back({from, {orders_}});
+  if (we_miss) AskFor(now, from, false);
+  // What is too large to be sent unasked is asked for by a peer that sees this node's digest.
+  if (digest.answer || told) out_.digests.push_back({from, OwnDigest(now)});
 }
 
 void Exchange::OnPull(base::Millis now, const base::Address& from, const Pull& pull) {
-  if (revision_ > pull.revision) SendConfig(from, pull.revision);
-  if (has_catalog() && (catalog_.NewerThan(pull.epoch, pull.sequence) || pull.epoch == 0)) {
-    SendCatalog(now, from);
+  if (revision_ > pull.revision) SendConfig(now, from, pull.revision, true);
+  bool truer =
+      exact_ && !pull.exact && pull.epoch == catalog_.epoch && pull.sequence == catalog_.sequence;
+  if (has_catalog() &&
+      (catalog_.NewerThan(pull.epoch, pull.sequence) || truer || pull.epoch == 0)) {
+    SendCatalog(now, from, pull.epoch, pull.sequence, pull.exact, true);
   }
+  if (orders_.version() > pull.evacuation) out_.evacuations.push_back({from, {orders_}});
+}
+
+bool Exchange::SentLately(base::Millis now, const base::Address& to, uint64_t what) {
+  Sent& sent = sent_[to];
+  if (sent.what == what && now - sent.at < kSentLately) return true;
+  sent = {now, what};
+  return false;
 }
 
-void Exchange::SendConfig(const base::Address& to, int64_t peer_has) {
-  if (revision_ == 0) return;
-  if (!patch_.empty() && peer_has == patch_base_) {
-    out_.configs.push_back({to, ConfigNews{revision_, patch_base_, patch_}});
+bool Exchange::SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked) {
+  if (revision_ == 0) return true;
+  bool patch = !patch_.empty() && peer_has == patch_base_;
+  const std::string& body = patch ? patch_ : text_;
+  if (body.size() > kSmall) {
+    if (!asked) return false;
+    if (SentLately(now, to, static_cast<uint64_t>(revision_) * 2)) return true;
+  }
+  out_.configs.push_back({to, ConfigNews{revision_, patch ? patch_base_ : 0, body}});
+  return true;
+}
+
+bool Exchange::SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch,
+                           uint64_t sequence, bool exact, bool asked) {
+  CatalogNews news;
+  news.epoch = catalog_.epoch;
+  news.sequence = catalog_.sequence;
+  news.exact = exact_;
+  news.age_ms = static_cast<int32_t>(std::min<base::Millis>(catalog_age(now), INT32_MAX));
+  // The steps from what the peer has, if they are remembered.
+  size_t first = history_.size();
+  for (size_t i = history_.size(); exact && exact_ && i-- > 0;) {
+    if (history_[i].epoch == epoch && history_[i].sequence == sequence) {
+      first = i;
+      break;
+    }
+  }
+  if (first < history_.size()) {
+    news.whole = false;
+    news.base_epoch = epoch;
+    news.base_sequence = sequence;
+    std::set<std::string> touched;
+    for (size_t i = first; i < history_.size(); ++i) {
+      touched.insert(history_[i].touched.begin(), history_[i].touched.end());
+    }
+    for (const std::string& id : touched) {
+      auto at = std::lower_bound(
+          catalog_.servers.begin(), catalog_.servers.end(), id,
+          [](const catalog::Server& server, const std::string& want) { return server.id < want; });
+      if (at != catalog_.servers.end() && at->id == id) {
+        news.servers.push_back(*at);
+      } else {
+        news.gone.push_back(id);
+      }
+    }
   } else {
-    out_.configs.push_back({to, ConfigNews{revision_, 0, text_}});
+    news.servers = catalog_.servers;
   }
+  if (news.servers.size() + news.gone.size() > kSmallServers) {
+    if (!asked) return false;
+    if (SentLately(now, to, catalog_.epoch << 32 | catalog_.sequence << 1 | 1)) return true;
+  }
+  for (catalog::Server& server : news.servers) {
+    server.warmup_left_ms = static_cast<int32_t>(std::max<base::Millis>(0, server.warm_at - now));
+  }
+  out_.catalogs.push_back({to, std::move(news)});
+  return true;
 }
 
-void Exchange::SendCatalog(base::Millis now, const base::Address& to) {
-  out_.catalogs.push_back({to, CatalogNews{catalog_, catalog_age(now)}});
+bool Exchange::Elsewhere(const base::Address& from) const {
+  const ring::Node* node = members_->Find(from);
+  return node && node->zone != members_->self().zone;
 }
 
-std::vector<const ring::Node*> Exchange::Audience(bool origin) {
+std::vector<const ring::Node*> Exchange::Audience(bool origin, size_t near_count) {
   const std::string& zone = members_->self().zone;
   std::vector<const ring::Node*> near;
-  std::map<std::string, std::vector<const ring::Node*>> far;
+  std::map<std::string, std::vector<const ring::Node*>> far, far_core;
   for (const ring::Node* node : members_->Others()) {
     if (node->zone == zone) {
       near.push_back(node);
     } else if (origin) {
       far[node->zone].push_back(node);
+      if (node->durable) far_core[node->zone].push_back(node);
     }
   }
   std::vector<const ring::Node*> audience;
-  size_t count = origin ? kFanOut : kPassOn;
-  while (!near.empty() && audience.size() < count) {
+  while (!near.empty() && audience.size() < near_count) {
     size_t pick = random_.Below(near.size());
     audience.push_back(near[pick]);
     near.erase(near.begin() + static_cast<long>(pick));
   }
-  for (auto& [name, nodes] : far) audience.push_back(nodes[random_.Below(nodes.size())]);
+  // A zone's relay is a machine of the core, where one is in sight: it has the better link.
+  for (auto& [name, nodes] : far) {
+    auto core = far_core.find(name);
+    const auto& from = core == far_core.end() ? nodes : core->second;
+    audience.push_back(from[random_.Below(from.size())]);
+  }
   return audience;
 }
 
-void Exchange::Pass(base::Millis now, bool config, bool origin) {
-  for (const ring::Node* node : Audience(origin)) {
-    if (config) {
-      SendConfig(node->address(), patch_base_);
-    } else {
-      SendCatalog(now, node->address());
+void Exchange::Pass(base::Millis now, Topic topic, const base::Address* from) {
+  bool origin = from == nullptr && topic == Topic::kCatalog && catalog_.epoch > 0;
+  bool first_here = from == nullptr || Elsewhere(*from);
+  Digest announce = OwnDigest(now);
+  for (const ring::Node* node : Audience(origin, first_here ? kFanOut : kPassOn)) {
+    if (from && node->address() == *from) continue;
+    bool sent = true;
+    switch (topic) {
+      case Topic::kConfiguration:
+        sent = SendConfig(now, node->address(), patch_base_, false);
+        break;
+      case Topic::kCatalog:
+        sent = !history_.empty() && SendCatalog(now, node->address(), history_.back().epoch,
+                                                history_.back().sequence, true, false);
+        break;
+      case Topic::kEvacuation:
+        out_.evacuations.push_back({node->address(), {orders_}});
+        break;
     }
-    if (node->state != ring::State::kAlive) hints_[node->id] = true;
-  }
-  for (const auto& [id, node] : members_->nodes()) {
-    if (!node.reachable()) hints_[id] = true;
+    if (!sent) out_.digests.push_back({node->address(), announce});
   }
 }
 
@@ -121,15 +211,14 @@
   if (news.revision <= revision_) return;
   if (news.base != 0) {
     if (news.base != revision_ || text_.empty()) {
-      if (now >= pull_at_) {
-        pull_at_ = now + kPullGap;
-        // Asking as one that has nothing brings the whole document.
-        out_.pulls.push_back({from, Pull{0, catalog_.epoch, catalog_.sequence}});
-      }
+      AskFor(now, from, true);
       return;
     }
     configuration::Patched patched = configuration::ApplyPatch(text_, news.body);
-    if (!patched.refusal.reason.empty()) return;
+    if (!patched.refusal.reason.empty()) {
+      AskFor(now, from, true);
+      return;
+    }
     text_ = std::move(patched.text);
     patch_base_ = revision_;
     patch_ = news.body;
@@ -140,7 +229,7 @@
   }
   revision_ = news.revision;
   out_.config_adopted = true;
-  Pass(now, true, false);
+  Pass(now, Topic::kConfiguration, &from);
 }
 
 void Exchange::Commit(base::Millis now, const configuration::Register& state) {
@@ -151,24 +240,64 @@
   patch_base_ = patch ? state.base() : 0;
   patch_ = patch ? state.newest().body : "";
   out_.config_adopted = true;
-  // Every controller applies the log by itself and serves its own zone.
-  Pass(now, true, false);
+  // Every controller applies the log by itself; one of a zone tells all of it.
+  if (!members_->FirstOfZone()) {
+    Pass(now, Topic::kConfiguration, nullptr);
+    return;
+  }
   for (const ring::Node* node : members_->Others()) {
     if (node->zone == members_->self().zone && node->program == ring::Program::kProxy) {
-      SendConfig(node->address(), patch_base_);
+      SendConfig(now, node->address(), patch_base_, true);
     }
   }
 }
 
+void Exchange::Commit(const evacuation::Orders& orders) {
+  if (orders.version() <= orders_.version()) return;
+  orders_ = orders;
+  out_.evacuation_adopted = true;
+  for (const ring::Node* node : members_->Others()) {
+    if (node->zone == members_->self().zone)
+      out_.evacuations.push_back({node->address(), {orders_}});
+  }
+}
+
+void Exchange::OnEvacuation(base::Millis now, const base::Address& from,
+                            const EvacuationNews& news) {
+  if (news.orders.version() <= orders_.version()) return;
+  orders_ = news.orders;
+  out_.evacuation_adopted = true;
+  Pass(now, Topic::kEvacuation, &from);
+}
+
+// Takes another list in place of this one, and remembers the step if both are exact.
+void Exchange::Replace(catalog::Catalog catalog, bool exact) {
+  if (exact && exact_ && has_catalog()) {
+    history_.push_back({catalog_.epoch, catalog_.sequence,
+                        catalog::Differences(catalog_.servers, catalog.servers)});
+    size_t touched = 0;
+    for (const Step& step : history_) touched += step.touched.size();
+    while (!history_.empty() && (history_.size() > kHistory || touched > kTouchedLimit)) {
+      touched -= history_.front().touched.size();
+      history_.pop_front();
+    }
+  } else {
+    history_.clear();
+  }
+  catalog_ = std::move(catalog);
+  exact_ = exact;
+  out_.catalog_adopted = true;
+}
+
 bool Exchange::Publish(base::Millis now, catalog::Catalog catalog) {
   if (has_catalog() && !catalog.NewerThan(catalog_.epoch, catalog_.sequence)) return false;
-  catalog_ = std::move(catalog);
+  bool vouched = catalog.epoch > 0;
+  Replace(std::move(catalog), vouched);
   read_at_ = now;
-  out_.catalog_adopted = true;
-  Pass(now, false, catalog_.epoch > 0);
-  if (catalog_.epoch > 0) return true;
+  Pass(now, Topic::kCatalog, nullptr);
+  if (vouched) return true;
   for (const ring::Node* node : members_->Others()) {
-    if (node->zone == members_->self().zone) SendCatalog(now, node->address());
+    if (node->zone == members_->self().zone) SendCatalog(now, node->address(), 0, 0, false, true);
   }
   return true;
 }
@@ -178,37 +307,58 @@
 }
 
 void Exchange::AdoptOwnReading(base::Millis now, std::vector<catalog::Server> servers) {
-  bool changed = !has_catalog() || !catalog::SameServers(servers, catalog_.servers);
-  catalog_.servers = std::move(servers);
+  if (has_catalog() && catalog::SameServers(catalog_.servers, servers)) {
+    read_at_ = now;
+    return;
+  }
+  Replace({catalog_.epoch, catalog_.sequence, std::move(servers)}, false);
   read_at_ = now;
-  out_.catalog_adopted |= changed;
 }
 
-void Exchange::OnCatalog(base::Millis now, const base::Address&, const CatalogNews& news) {
-  bool newer = news.catalog.NewerThan(catalog_.epoch, catalog_.sequence);
-  if (!newer && has_catalog()) return;
-  catalog_ = news.catalog;
-  read_at_ = now - std::max<int64_t>(0, news.age_ms);
-  out_.catalog_adopted = true;
-  Pass(now, false, false);
+void Exchange::OnCatalog(base::Millis now, const base::Address& from, const CatalogNews& news) {
+  catalog::Catalog offered{news.epoch, news.sequence, {}};
+  bool newer = offered.NewerThan(catalog_.epoch, catalog_.sequence);
+  // The holder's own words replace a reading that this node made for itself meanwhile.
+  bool truer = news.exact && !exact_ && news.whole && news.epoch == catalog_.epoch &&
+               news.sequence == catalog_.sequence;
+  if (!newer && !truer && has_catalog()) return;
+  auto anchored = [now](catalog::Server server) {
+    server.warm_at = server.warmup_left_ms > 0 ? now + server.warmup_left_ms : 0;
+    return server;
+  };
+  if (news.whole) {
+    for (const catalog::Server& server : news.servers) offered.servers.push_back(anchored(server));
+  } else {
+    if (!has_catalog() || !exact_ || news.base_epoch != catalog_.epoch ||
+        news.base_sequence != catalog_.sequence) {
+      AskFor(now, from, false);
+      return;
+    }
+    std::map<std::string, catalog::Server> changed;
+    for (const catalog::Server& server : news.servers) changed[server.id] = anchored(server);
+    std::set<std::string> gone(news.gone.begin(), news.gone.end());
+    for (const catalog::Server& server : catalog_.servers) {
+      if (gone.count(server.id)) continue;
+      changed.emplace(server.id, server);  // keeps what changed
+    }
+    for (auto& [id, server] : changed) offered.servers.push_back(std::move(server));
+  }
+  Replace(std::move(offered), news.exact);
+  read_at_ = now - std::max<int32_t>(0, news.age_ms);
+  Pass(now, Topic::kCatalog, &from);
 }
 
 void Exchange::OnHeard(base::Millis now, const ring::Node& node) {
-  // Handed over by those that kept a hint; others only compare.
-  auto hint = hints_.find(node.id);
-  if (hint != hints_.end()) {
-    hints_.erase(hint);
-    SendConfig(node.address(), 0);
-    if (has_catalog()) SendCatalog(now, node.address());
-    return;
-  }
-  if (node.zone == members_->self().zone) {
-    Digest digest = OwnDigest(now);
-    digest.answer = true;
-    out_.digests.push_back({node.address(), digest});
-  }
+  // By those that kept a hint; what it missed it then asks for, once.
+  if (hints_.erase(node.id) == 0) return;
+  out_.digests.push_back({node.address(), OwnDigest(now)});
 }
 
-void Exchange::OnLost(const ring::Node& node) { hints_.emplace(node.id, true); }
+void Exchange::OnLost(const ring::Node& node) {
+  if (node.state == ring::State::kLeft) return;
+  for (const ring::Node* watcher : members_->WatchersOf(node.id)) {
+    if (watcher->id == members_->self().id) hints_.insert(node.id);
+  }
+}
 
 }  // namespace elderkeel::news
--- a/src/news/exchange.h
+++ b/src/news/exchange.h
@@ -3,7 +3,9 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +13,7 @@
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "configuration/register.h"
+#include "evacuation/orders.h"
 #include "ring/membership.h"
 
 namespace elderkeel::news {
@@ -20,11 +23,12 @@
   int64_t revision = 0;
   uint64_t epoch = 0;
   uint64_t sequence = 0;
-  int64_t catalog_age_ms = -1;  // since the platform was last read for it; -1 for never
+  uint64_t evacuation = 0;
+  int32_t catalog_age_ms = -1;  // since the platform was last read for it; -1 for never
   bool answer = false;          // the sender would like the receiver's digest
   template <class A>
   void serialize(A& a) {
-    a(revision, epoch, sequence, catalog_age_ms, answer);
+    a(revision, epoch, sequence, evacuation, catalog_age_ms, answer);
   }
 };
 
@@ -33,9 +37,11 @@
   int64_t revision = 0;
   uint64_t epoch = 0;
   uint64_t sequence = 0;
+  uint64_t evacuation = 0;
+  bool exact = false;  // the sender holds the list just as (epoch, sequence) names it
   template <class A>
   void serialize(A& a) {
-    a(revision, epoch, sequence);
+    a(revision, epoch, sequence, evacuation, exact);
   }
 };
 
@@ -50,21 +56,41 @@
   }
 };
 
+// The list whole, or what changed in it since (base_epoch, base_sequence).
 struct CatalogNews {
-  catalog::Catalog catalog;
-  int64_t age_ms = 0;
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;
+  bool whole = true;
+  bool exact = true;  // just as its holder read it, so that changes may be built upon it
+  uint64_t base_epoch = 0;
+  uint64_t base_sequence = 0;
+  int32_t age_ms = 0;
+  std::vector<catalog::Server> servers;  // all, or those that are new or changed
+  std::vector<std::string> gone;
+  template <class A>
+  void serialize(A& a) {
+    a(epoch, sequence, whole, exact, base_epoch, base_sequence, age_ms, servers, gone);
+  }
+};
+
+// Which zones are evacuated, by the log's order.
+struct EvacuationNews {
+  evacuation::Orders orders;
   template <class A>
   void serialize(A& a) {
-    a(catalog, age_ms);
+    a(orders);
   }
 };
 
 // How news reaches every node, as a pure state machine: a node passes what is new to it to a few
 // others, one for each zone that has no other source and some of its own zone, and mends what was
-// missed by comparing digests with a random peer. What a missing peer should have had is remembered
-// and handed over when it is heard again. Within one life nothing older replaces anything newer.
+// missed by comparing digests with a random peer. What is small is sent at once; what is large,
+// such as a list without a base to build on, is announced by a digest, so that each node takes it
+// once. The watchers of a missing node remember that it misses something and tell it when it is
+// heard again. Within one life nothing older replaces anything newer.
 class Exchange {
  public:
+  enum class Topic : uint8_t { kConfiguration, kCatalog, kEvacuation };
   struct Options {
     uint64_t seed = 1;
     base::Millis digest_every = 400;
@@ -75,8 +101,14 @@
     std::vector<std::pair<base::Address, Pull>> pulls;
     std::vector<std::pair<base::Address, ConfigNews>> configs;
     std::vector<std::pair<base::Address, CatalogNews>> catalogs;
+    std::vector<std::pair<base::Address, EvacuationNews>> evacuations;
     bool config_adopted = false;
     bool catalog_adopted = false;
+    bool evacuation_adopted = false;
+    bool empty() const {
+      return digests.empty() && pulls.empty() && configs.empty() && catalogs.empty() &&
+             evacuations.empty() && !config_adopted && !catalog_adopted && !evacuation_adopted;
+    }
   };
 
   Exchange(Options options, const ring::Membership* members, base::Millis now);
@@ -86,12 +118,14 @@
   void OnPull(base::Millis now, const base::Address& from, const Pull& pull);
   void OnConfig(base::Millis now, const base::Address& from, const ConfigNews& news);
   void OnCatalog(base::Millis now, const base::Address& from, const CatalogNews& news);
+  void OnEvacuation(base::Millis now, const base::Address& from, const EvacuationNews& news);
   // A node was heard for the first time, or again.
   void OnHeard(base::Millis now, const ring::Node& node);
   void OnLost(const ring::Node& node);
 
   // From the log, committed; only controllers call this.
   void Commit(base::Millis now, const configuration::Register& state);
+  void Commit(const evacuation::Orders& orders);
   // From this node's own reading of the platform, as the holder of the duty.
   // Epoch 0 is a reading that no holder vouches for; it stays in the zone.
   // False if news of a later holder is here already: this one was replaced and does not know it
@@ -108,15 +142,30 @@
   int64_t revision() const { return revision_; }
   const std::string& config_text() const { return text_; }
   const catalog::Catalog& catalog() const { return catalog_; }
+  const evacuation::Orders& orders() const { return orders_; }
   bool has_catalog() const { return read_at_ >= 0; }
   base::Millis catalog_age(base::Millis now) const { return read_at_ < 0 ? -1 : now - read_at_; }
 
  private:
-  void SendConfig(const base::Address& to, int64_t peer_has);
-  void SendCatalog(base::Millis now, const base::Address& to);
+  // A step in the list's history: what it was before, and which servers it touched.
+  struct Step {
+    uint64_t epoch;
+    uint64_t sequence;
+    std::vector<std::string> touched;
+  };
+
+  // False where it is too large to be sent unasked, or was just sent there.
+  bool SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
+  bool SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch, uint64_t sequence,
+                   bool exact, bool asked);
+  bool SentLately(base::Millis now, const base::Address& to, uint64_t what);
+  void AskFor(base::Millis now, const base::Address& from, bool whole_config);
+  void Replace(catalog::Catalog catalog, bool exact);
   // Whom to tell at once of something new.
-  std::vector<const ring::Node*> Audience(bool origin);
-  void Pass(base::Millis now, bool config, bool origin);
+  std::vector<const ring::Node*> Audience(bool origin, size_t near_count);
+  // `from`: who told this node; none if the news starts here.
+  void Pass(base::Millis now, Topic topic, const base::Address* from);
+  bool Elsewhere(const base::Address& from) const;
 
   Options options_;
   const ring::Membership* members_;
@@ -126,10 +175,18 @@
   int64_t patch_base_ = 0;
   std::string patch_;  // leads from patch_base_ to revision_; empty if there is none
   catalog::Catalog catalog_;
+  bool exact_ = false;
+  std::deque<Step> history_;  // leads up to catalog_
+  evacuation::Orders orders_;
   base::Millis read_at_ = -1;
   base::Millis digest_at_ = 0;
   base::Millis pull_at_ = 0;
-  std::map<uint64_t, bool> hints_;  // nodes that missed something
+  std::set<uint64_t> hints_;  // nodes that missed something, among those that this one watches
+  struct Sent {
+    base::Millis at = 0;
+    uint64_t what = 0;
+  };
+  std::map<base::Address, Sent> sent_;  // large things, lately
   Effects out_;
 };
 
--- a/src/news/fleet.cc
+++ b/src/news/fleet.cc
@@ -1,5 +1,7 @@
 #include "news/fleet.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "base/random.h"
 
@@ -7,6 +9,7 @@
 namespace {
 
 constexpr base::Millis kTickMs = 50;
+constexpr size_t kDatagramBytes = 1300;
 
 uint16_t PortOf(const base::Settings& settings, ring::Program program) {
   return program == ring::Program::kController ? settings.ControllerPort() : settings.ProxyPort();
@@ -21,6 +24,9 @@
   self.program = program;
   self.zone = settings.zone;
   self.life = base::SystemSeed();
+  self.front = program == ring::Program::kProxy ? settings.front.port : 0;
+  self.durable = program == ring::Program::kController && !settings.data_dir.empty();
+  options.regions = settings.zones;
   options.heartbeat = settings.heartbeat_ms;
   options.seed = base::SystemSeed();
   return options;
@@ -79,6 +85,14 @@
   exchange_.Commit(base::SteadyMillis(), state);
   Pump();
 }
+void Fleet::Commit(const evacuation::Orders& orders) {
+  exchange_.Commit(orders);
+  Pump();
+}
+void Fleet::SetReady(bool ready) {
+  members_.SetReady(ready);
+  Pump();
+}
 bool Fleet::Publish(catalog::Catalog catalog) {
   bool taken = exchange_.Publish(base::SteadyMillis(), std::move(catalog));
   Pump();
@@ -97,6 +111,11 @@
     (node->zone == settings_.zone ? near : far).push_back(node->address());
   }
   near.insert(near.end(), far.begin(), far.end());
+  // Those without a disk have no part in the log where others have one; they come last.
+  std::stable_partition(near.begin(), near.end(), [this](const base::Address& address) {
+    const ring::Node* node = members_.Find(address);
+    return node && node->durable;
+  });
   for (const base::Address& seed : settings_.seeds) {
     base::Address address{seed.ip, settings_.ControllerPort()};
     bool known = false;
@@ -115,6 +134,12 @@
     case wire::Kind::kMembers:
       if (auto m = wire::Decode<ring::Table>(payload)) members_.OnTable(now, from, *m);
       break;
+    case wire::Kind::kSummary:
+      if (auto m = wire::Decode<ring::Summary>(payload)) members_.OnSummary(now, from, *m);
+      break;
+    case wire::Kind::kEvacuationNews:
+      if (auto m = wire::Decode<EvacuationNews>(payload)) exchange_.OnEvacuation(now, from, *m);
+      break;
     case wire::Kind::kDigest:
       if (auto m = wire::Decode<Digest>(payload)) exchange_.OnDigest(now, from, *m);
       break;
@@ -134,6 +159,13 @@
   Pump();
 }
 
+// What fits a datagram needs no connection to a node that may be gone.
+void Fleet::SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes) {
+  if (bytes.size() > kDatagramBytes || !mesh_.SendDatagram(to, kind, std::string_view(bytes))) {
+    mesh_.Send(to, kind, std::string_view(bytes));
+  }
+}
+
 void Fleet::Pump() {
   if (pumping_) return;
   pumping_ = true;
@@ -150,25 +182,17 @@
     }
     Exchange::Effects news = exchange_.Take();
     for (auto& [to, m] : ring.heartbeats) mesh_.SendDatagram(to, wire::Kind::kHeartbeat, m);
-    for (auto& [to, m] : ring.tables) {
-      // Small tables fit a datagram, which needs no connection to a node that may be gone.
-      std::string bytes = wire::Encode(m);
-      if (bytes.size() > 1300 ||
-          !mesh_.SendDatagram(to, wire::Kind::kMembers, std::string_view(bytes))) {
-        mesh_.Send(to, wire::Kind::kMembers, std::string_view(bytes));
-      }
-    }
+    for (auto& [to, m] : ring.tables) SendSmall(to, wire::Kind::kMembers, wire::Encode(m));
+    for (auto& [to, m] : ring.summaries) SendSmall(to, wire::Kind::kSummary, wire::Encode(m));
     for (auto& [to, m] : news.digests) mesh_.SendDatagram(to, wire::Kind::kDigest, m);
     for (auto& [to, m] : news.pulls) mesh_.Send(to, wire::Kind::kPull, m);
     for (auto& [to, m] : news.configs) mesh_.Send(to, wire::Kind::kConfigNews, m);
     for (auto& [to, m] : news.catalogs) mesh_.Send(to, wire::Kind::kCatalogNews, m);
+    for (auto& [to, m] : news.evacuations) mesh_.Send(to, wire::Kind::kEvacuationNews, m);
     if (news.config_adopted && hooks_.config_adopted) hooks_.config_adopted();
     if (news.catalog_adopted && hooks_.catalog_adopted) hooks_.catalog_adopted();
-    if (ring.changed.empty() && ring.heartbeats.empty() && ring.tables.empty() &&
-        news.digests.empty() && news.pulls.empty() && news.configs.empty() &&
-        news.catalogs.empty() && !news.config_adopted && !news.catalog_adopted) {
-      break;
-    }
+    if (news.evacuation_adopted && hooks_.evacuation_adopted) hooks_.evacuation_adopted();
+    if (ring.empty() && news.empty()) break;
   }
   pumping_ = false;
 }
--- a/src/news/fleet.h
+++ b/src/news/fleet.h
@@ -16,6 +16,7 @@
   struct Hooks {
     std::function<void()> config_adopted;
     std::function<void()> catalog_adopted;
+    std::function<void()> evacuation_adopted;
     std::function<void(const ring::Node&)> node_changed;
     // Messages of the other slices.
     std::function<void(const base::Address&, wire::Kind, std::string_view)> other;
@@ -31,15 +32,19 @@
   const Exchange& news() const { return exchange_; }
   // Feeds the news; what it causes is sent at once.
   void Commit(const configuration::Register& state);
+  void Commit(const evacuation::Orders& orders);
   bool Publish(catalog::Catalog catalog);
   void Confirm(uint64_t epoch);
   void AdoptOwnReading(std::vector<catalog::Server> servers);
+  // This proxy may be given clients, or may not.
+  void SetReady(bool ready);
   // Controllers in sight, those of the own zone first, then the seeds.
   std::vector<base::Address> Controllers() const;
 
  private:
   void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
   void Pump();
+  void SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes);
 
   base::Loop* loop_;
   const base::Settings& settings_;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -44,19 +44,11 @@
   news::Fleet::Hooks hooks;
   hooks.config_adopted = [this] { ConfigAdopted(); };
   hooks.catalog_adopted = [this] { CatalogAdopted(); };
-  hooks.node_changed = [this](const ring::Node&) {
-    front_->SetProxies(fleet_->members().CountAlive(ring::Program::kProxy));
-    size_t place = 0, places = 0;
-    for (const auto& [id, node] : fleet_->members().nodes()) {
-      if (node.program != ring::Program::kProxy || node.zone != settings_.zone ||
-          !node.reachable()) {
-        continue;
-      }
-      if (id < fleet_->members().self().id) ++place;
-      ++places;
-    }
-    front_->SetPlace(place, places);
+  hooks.evacuation_adopted = [this] {
+    front_->Adopt(fleet_->news().orders());
+    base::Info("evacuation.adopted", {{"version", fleet_->news().orders().version()}});
   };
+  hooks.node_changed = [this](const ring::Node&) { fleet_changed_ = true; };
   hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
     OnMessage(from, kind, payload);
   };
@@ -98,7 +90,8 @@
 }
 
 void Proxy::ConfigAdopted() {
-  auto table = configuration::Table::Build(fleet_->news().config_text(), front_->names());
+  auto table =
+      configuration::Table::Build(fleet_->news().config_text(), front_->names(), front_->regions());
   if (!table) {
     base::Warn("configuration.unread", {{"revision", fleet_->news().revision()}});
     return;
@@ -214,8 +207,29 @@
   hurry_.Start(loop_, kHurryMs, [this] { Hurry(); });
 }
 
+// Which of its zone's proxies this one is, as of all that changed since the last look.
+void Proxy::TakePlace() {
+  if (!fleet_changed_) return;
+  fleet_changed_ = false;
+  const ring::Membership& members = fleet_->members();
+  front_->SetProxies(members.CountAlive(ring::Program::kProxy));
+  size_t place = 0;
+  std::vector<uint64_t> peers;
+  for (const auto& [id, node] : members.nodes()) {
+    if (node.program != ring::Program::kProxy || node.zone != settings_.zone || !node.reachable()) {
+      continue;
+    }
+    if (id < members.self().id) ++place;
+    peers.push_back(id);
+  }
+  front_->SetPlace(place, peers.size());
+  front_->SetPeers(members.self().id, std::move(peers));
+}
+
 void Proxy::Tick() {
   base::Millis now = base::SteadyMillis();
+  TakePlace();
+  fleet_->SetReady(readiness_.Ready(now));
   if (front_->able()) readiness_.Able(now);
   if (!readiness_.leaving()) {
     AskConfirmation(now);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -30,6 +30,7 @@
   void ConfigAdopted();
   void CatalogAdopted();
   void Tick();
+  void TakePlace();
   void Hurry();
   void AskConfirmation(base::Millis now);
   void ReadForItself(base::Millis now);
@@ -45,6 +46,7 @@
   std::unique_ptr<catalog::Platform> platform_;
   std::unique_ptr<readiness::SettingsWatch> watch_;
   readiness::Readiness readiness_;
+  bool fleet_changed_ = true;
   base::Timer tick_;
   base::Timer hurry_;
 
--- a/src/ring/membership.cc
+++ b/src/ring/membership.cc
@@ -5,9 +5,12 @@
 namespace elderkeel::ring {
 namespace {
 constexpr size_t kWatchersInZone = 2;
-constexpr size_t kWatchersElsewhere = 1;
-constexpr size_t kSpread = 3;
-constexpr base::Millis kTableGap = 300;   // between two whole tables to one peer
+constexpr size_t kSpread = 3;              // peers that are told of a change at once
+constexpr uint64_t kSpreadFar = 4;         // one in so many of them is of another zone
+constexpr base::Millis kSummaryGap = 300;  // between two summaries to one peer
+constexpr int kBeatsToRegion = 4;  // of so many heartbeats one goes to a watcher in another zone,
+constexpr int kBeatsToFar = 8;     // and one to a watcher in another region
+constexpr int kLostEvery = 4;      // of so many beats one also goes to a node held for lost
 constexpr base::Millis kSeedGap = 500;    // while alone
 constexpr base::Millis kSeedCalm = 5000;  // once others are known
 }  // namespace
@@ -33,7 +36,14 @@
       random_(options_.seed),
       now_(now) {
   self_.incarnation = 1;
-  nodes_[self_.id] = self_;
+  Put(self_);
+}
+
+uint32_t Node::Mark() const {
+  uint64_t view = static_cast<uint64_t>(state) + 4 * accusers.size() + (ready ? 1024 : 0);
+  return static_cast<uint32_t>(
+      base::Random(id ^ life ^ (uint64_t{incarnation} << 32) ^ view * 0x9e3779b97f4a7c15ull)
+          .Next());
 }
 
 Membership::Effects Membership::Take() {
@@ -42,6 +52,45 @@
   return taken;
 }
 
+const Node* Membership::Find(const base::Address& address) const {
+  auto at = nodes_.find(base::Hash(address.ToString()));
+  return at == nodes_.end() ? nullptr : &at->second;
+}
+
+bool Membership::FirstOfZone() const {
+  const Node* first = nullptr;
+  for (const auto& [id, node] : nodes_) {
+    if (node.program != Program::kController || node.zone != self_.zone || !node.reachable()) {
+      continue;
+    }
+    if (!first || (node.durable && !first->durable)) first = &node;
+  }
+  return first && first->id == self_.id;
+}
+
+const std::string& Membership::RegionOf(const std::string& zone) const {
+  auto at = options_.regions.find(zone);
+  static const std::string unnamed;
+  return at == options_.regions.end() ? unnamed : at->second;
+}
+
+Membership::Distance Membership::Between(const Node& a, const Node& b) const {
+  if (a.zone == b.zone) return Distance::kZone;
+  return RegionOf(a.zone) == RegionOf(b.zone) ? Distance::kRegion : Distance::kFar;
+}
+
+int Membership::BeatsBetween(const Node& node, const Node& watcher, size_t place) const {
+  if (place < kWatchersInZone) return 1;  // the nearest, wherever they are
+  return Between(node, watcher) == Distance::kFar ? kBeatsToFar : kBeatsToRegion;
+}
+
+void Membership::Put(const Node& node) {
+  Node& have = nodes_[node.id];
+  rewatch_ |= have.id == 0 || have.reachable() != node.reachable();
+  have = node;
+  digested_ = false;
+}
+
 std::vector<const Node*> Membership::Others() const {
   std::vector<const Node*> others;
   for (const auto& [id, node] : nodes_) {
@@ -57,40 +106,43 @@
 }
 
 uint64_t Membership::Digest() const {
-  uint64_t digest = 0;
+  if (digested_) return digest_;
+  digest_ = 0;
   for (const auto& [id, node] : nodes_) {
-    uint64_t state = static_cast<uint64_t>(node.state) + 4 * node.accusers.size();
-    digest ^=
-        base::Random(id ^ (uint64_t{node.incarnation} << 8) ^ state * 0x9e3779b97f4a7c15ull).Next();
+    digest_ ^= base::Random(id ^ (uint64_t{node.Mark()} << 16)).Next();
   }
-  return digest;
+  digested_ = true;
+  return digest_;
 }
 
-// The next ones clockwise from a node's place: some of its zone, some of elsewhere, and more of
-// either where there are too few of the other.
+// The next ones clockwise from a node's place: two of its zone, one of another zone of its region
+// and one of another region, as far as there are any; of the rest as many as are missing.
 std::vector<const Node*> Membership::WatchersOf(uint64_t id) const {
   std::vector<const Node*> watchers, spare;
   auto of = nodes_.find(id);
   if (of == nodes_.end()) return watchers;
-  size_t in_zone = 0, elsewhere = 0;
+  size_t count[3] = {0, 0, 0};
   auto at = std::next(of);
   for (size_t i = 1; i < nodes_.size(); ++i, ++at) {
     if (at == nodes_.end()) at = nodes_.begin();
     const Node& node = at->second;
     if (!node.reachable()) continue;
-    bool same = node.zone == of->second.zone;
-    size_t& count = same ? in_zone : elsewhere;
-    if (count < (same ? kWatchersInZone : kWatchersElsewhere)) {
-      ++count;
+    size_t distance = static_cast<size_t>(Between(of->second, node));
+    if (count[distance] < (distance == 0 ? kWatchersInZone : 1)) {
+      ++count[distance];
       watchers.push_back(&node);
-    } else {
+      if (count[0] >= kWatchersInZone && count[1] > 0 && count[2] > 0) break;
+    } else if (spare.size() <= kWatchersInZone) {
       spare.push_back(&node);
     }
   }
   for (const Node* node : spare) {
-    if (watchers.size() >= kWatchersInZone + kWatchersElsewhere) break;
+    if (watchers.size() > kWatchersInZone) break;
     watchers.push_back(node);
   }
+  std::stable_sort(watchers.begin(), watchers.end(), [&](const Node* a, const Node* b) {
+    return Between(of->second, *a) < Between(of->second, *b);
+  });
   return watchers;
 }
 
@@ -98,29 +150,146 @@
   return std::min<size_t>(2, std::max<size_t>(1, WatchersOf(id).size()));
 }
 
+void Membership::SetReady(bool ready) {
+  if (self_.ready == ready) return;
+  self_.ready = ready;
+  ++self_.incarnation;
+  Put(self_);
+  Spread(self_);
+}
+
 void Membership::Refute(uint32_t seen) {
   self_.incarnation = std::max(self_.incarnation, seen) + 1;
   self_.state = State::kAlive;
   self_.accusers.clear();
-  nodes_[self_.id] = self_;
+  Put(self_);
   Spread(self_);
 }
 
+// One accusing word goes to the other watchers, who can confirm or refute it, and to the accused,
+// at once; to anybody else together with all that changes within a tick.
 void Membership::Spread(const Node& node) {
-  std::vector<const Node*> others = Others();
-  // One accusing word goes to the other watchers, who can confirm or refute it, and to the accused.
-  for (size_t i = 0; i < kSpread && !others.empty(); ++i) {
-    size_t pick = random_.Below(others.size());
-    out_.tables.push_back({others[pick]->address(), Table{{node}, false}});
-    others.erase(others.begin() + static_cast<long>(pick));
+  spread_[node.id] = true;
+  if (node.id == self_.id || node.state == State::kLeft) return;
+  if (node.state == State::kAlive) return;
+  out_.tables.push_back({node.address(), Table{{node}, {}}});
+  for (const Node* watcher : WatchersOf(node.id)) {
+    if (watcher->id != self_.id) {
+      out_.tables.push_back({watcher->address(), Table{{node}, {}}});
+    }
+  }
+}
+
+void Membership::SendSpread() {
+  if (spread_.empty()) return;
+  Table table;
+  for (const auto& [id, unused] : spread_) {
+    auto at = nodes_.find(id);
+    if (at != nodes_.end()) table.nodes.push_back(at->second);
   }
-  if (node.id != self_.id && node.state != State::kLeft) {
-    out_.tables.push_back({node.address(), Table{{node}, false}});
-    for (const Node* watcher : WatchersOf(node.id)) {
-      if (watcher->id != self_.id) {
-        out_.tables.push_back({watcher->address(), Table{{node}, false}});
+  spread_.clear();
+  std::vector<const Node*> near, far;
+  for (const Node* node : Others()) (node->zone == self_.zone ? near : far).push_back(node);
+  for (size_t i = 0; i < kSpread && !(near.empty() && far.empty()); ++i) {
+    auto& from = near.empty() || (!far.empty() && random_.Below(kSpreadFar) == 0) ? far : near;
+    size_t pick = random_.Below(from.size());
+    out_.tables.push_back({from[pick]->address(), table});
+    from.erase(from.begin() + static_cast<long>(pick));
+  }
+}
+
+void Membership::Beat(base::Millis now) {
+  beat_at_ = now + options_.heartbeat;
+  ++beats_;
+  if (rewatch_) {
+    rewatch_ = false;
+    watchers_.clear();
+    watched_.clear();
+    for (const auto& [id, node] : nodes_) {
+      if (!node.reachable()) continue;
+      std::vector<const Node*> watchers = WatchersOf(id);
+      for (size_t place = 0; place < watchers.size(); ++place) {
+        int every = BeatsBetween(node, *watchers[place], place);
+        if (id == self_.id) {
+          watchers_.push_back({watchers[place]->id, every});
+        } else if (watchers[place]->id == self_.id) {
+          watched_[id] = every;
+        }
       }
     }
+    std::map<uint64_t, base::Millis> heard;
+    for (const auto& [id, every] : watched_) {
+      auto known = heard_.find(id);
+      heard[id] = known == heard_.end() ? now : known->second;
+    }
+    heard_.swap(heard);
+  }
+  Heartbeat beat{self_.id, self_.life, self_.incarnation, Digest()};
+  for (const auto& [id, every] : watchers_) {
+    if (beats_ % static_cast<uint64_t>(every) == 0) {
+      out_.heartbeats.push_back({nodes_[id].address(), beat});
+    }
+  }
+  // Two sides of a cut hold each other for lost, and nobody watches across it any more: somebody
+  // has to look whether it is over.
+  if (beats_ % kLostEvery == 0) {
+    std::vector<const Node*> lost;
+    for (const auto& [id, node] : nodes_) {
+      if (node.state == State::kDead) lost.push_back(&node);
+    }
+    if (!lost.empty()) {
+      out_.heartbeats.push_back({lost[random_.Below(lost.size())]->address(), beat});
+    }
+  }
+}
+
+void Membership::ReviewWatched(base::Millis now) {
+  for (const auto& [id, heard] : heard_) {
+    base::Millis patience = options_.heartbeat * options_.missed * watched_.at(id);
+    if (now - heard <= patience) continue;
+    Node node = nodes_[id];
+    auto& accusers = node.accusers;
+    if (std::find(accusers.begin(), accusers.end(), self_.id) != accusers.end()) continue;
+    accusers.push_back(self_.id);
+    std::sort(accusers.begin(), accusers.end());
+    node.state = accusers.size() >= Needed(id) ? State::kDead : State::kSuspect;
+    accused_[id] = now;
+    Put(node);
+    out_.changed.push_back(node);
+    Spread(node);
+  }
+  // Who is alive answers an accusation. Where most watchers were lost with the accused, as with a
+  // region, there is nobody to second it.
+  for (auto at = accused_.begin(); at != accused_.end();) {
+    Node node = nodes_[at->first];
+    bool stands =
+        node.state == State::kSuspect &&
+        std::find(node.accusers.begin(), node.accusers.end(), self_.id) != node.accusers.end();
+    if (!stands) {
+      at = accused_.erase(at);
+      continue;
+    }
+    if (now - at->second > options_.heartbeat * options_.missed) {
+      node.state = State::kDead;
+      Put(node);
+      out_.changed.push_back(node);
+      Spread(node);
+      at = accused_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+}
+
+void Membership::SeekSeeds(base::Millis now) {
+  if (now < seed_at_ || seeds_.empty()) return;
+  bool alone = Others().empty();
+  seed_at_ = now + (alone ? kSeedGap : kSeedCalm);
+  Table table{{self_}, {}};
+  if (alone) {
+    for (const base::Address& seed : seeds_) out_.tables.push_back({seed, table});
+  } else if (CountAlive(Program::kController) == (self_.program == Program::kController ? 1 : 0)) {
+    out_.tables.push_back({seeds_[next_seed_++ % seeds_.size()], table});
   }
 }
 
@@ -130,47 +299,14 @@
   if (gap > options_.heartbeat * 2) {
     // This process slept: that it heard nobody says nothing about them.
     for (auto& [id, heard] : heard_) heard = now;
+    for (auto& [id, since] : accused_) since = now;
   }
   if (now >= beat_at_) {
-    beat_at_ = now + options_.heartbeat;
-    Heartbeat beat{self_.id, self_.life, self_.incarnation, Digest()};
-    for (const Node* watcher : WatchersOf(self_.id)) {
-      out_.heartbeats.push_back({watcher->address(), beat});
-    }
-    std::map<uint64_t, base::Millis> watched;
-    for (const auto& [id, node] : nodes_) {
-      if (id == self_.id || !node.reachable()) continue;
-      for (const Node* watcher : WatchersOf(id)) {
-        if (watcher->id != self_.id) continue;
-        auto known = heard_.find(id);
-        watched[id] = known == heard_.end() ? now : known->second;
-      }
-    }
-    heard_.swap(watched);
-    for (const auto& [id, heard] : heard_) {
-      if (now - heard <= options_.heartbeat * options_.missed) continue;
-      Node node = nodes_[id];
-      auto& accusers = node.accusers;
-      if (std::find(accusers.begin(), accusers.end(), self_.id) != accusers.end()) continue;
-      accusers.push_back(self_.id);
-      std::sort(accusers.begin(), accusers.end());
-      node.state = accusers.size() >= Needed(id) ? State::kDead : State::kSuspect;
-      nodes_[id] = node;
-      out_.changed.push_back(node);
-      Spread(node);
-    }
-  }
-  if (now >= seed_at_ && !seeds_.empty()) {
-    bool alone = Others().empty();
-    seed_at_ = now + (alone ? kSeedGap : kSeedCalm);
-    Table table{{self_}, true};
-    if (alone) {
-      for (const base::Address& seed : seeds_) out_.tables.push_back({seed, table});
-    } else if (CountAlive(Program::kController) ==
-               (self_.program == Program::kController ? 1 : 0)) {
-      out_.tables.push_back({seeds_[next_seed_++ % seeds_.size()], table});
-    }
+    Beat(now);
+    ReviewWatched(now);
   }
+  SeekSeeds(now);
+  SendSpread();
 }
 
 void Membership::OnHeartbeat(base::Millis now, const base::Address& from, const Heartbeat& beat) {
@@ -183,18 +319,34 @@
   if (known && at->second.state != State::kAlive && at->second.life == beat.life &&
       at->second.incarnation == beat.incarnation) {
     // It is heard and yet held for lost: tell it, so that it refutes.
-    out_.tables.push_back({from, Table{{at->second}, false}});
+    out_.tables.push_back({from, Table{{at->second}, {}}});
     return;
   }
-  if (beat.members != Digest()) {
-    base::Millis& sent = table_sent_[from];
-    if (now - sent < kTableGap && sent != 0) return;
-    sent = now;
-    Table table;
-    table.answer = true;
-    for (const auto& [id, node] : nodes_) table.nodes.push_back(node);
-    out_.tables.push_back({from, std::move(table)});
+  if (beat.members != Digest()) SendSummary(now, from);
+}
+
+void Membership::SendSummary(base::Millis now, const base::Address& to) {
+  base::Millis& sent = summary_sent_[to];
+  if (sent != 0 && now - sent < kSummaryGap) return;
+  sent = now;
+  Summary summary;
+  for (const auto& [id, node] : nodes_) summary.marks.push_back({id, node.Mark()});
+  out_.summaries.push_back({to, std::move(summary)});
+}
+
+void Membership::OnSummary(base::Millis now, const base::Address& from, const Summary& summary) {
+  now_ = std::max(now_, now);
+  Table table;
+  std::map<uint64_t, uint32_t> theirs(summary.marks.begin(), summary.marks.end());
+  for (const auto& [id, node] : nodes_) {
+    auto at = theirs.find(id);
+    if (at == theirs.end() || at->second != node.Mark()) table.nodes.push_back(node);
+  }
+  for (const auto& [id, mark] : theirs) {
+    auto at = nodes_.find(id);
+    if (at == nodes_.end() || at->second.Mark() != mark) table.wants.push_back(id);
   }
+  if (!table.nodes.empty() || !table.wants.empty()) out_.tables.push_back({from, std::move(table)});
 }
 
 void Membership::Merge(base::Millis now, Node node) {
@@ -220,8 +372,10 @@
         if (state == State::kSuspect && both.size() >= Needed(node.id)) state = State::kDead;
         if (state == have.state && both == have.accusers) return;
         bool changed = state != have.state;
-        have.state = state;
-        have.accusers = both;
+        Node merged = have;
+        merged.state = state;
+        merged.accusers = both;
+        Put(merged);
         if (changed) {
           out_.changed.push_back(have);
           Spread(have);
@@ -229,8 +383,8 @@
         return;
       }
     }
-    bool changed = have.state != node.state || have.life != node.life;
-    have = node;
+    bool changed = have.state != node.state || have.life != node.life || have.ready != node.ready;
+    Put(node);
     auto heard = heard_.find(node.id);
     if (heard != heard_.end()) heard->second = now;
     if (changed) {
@@ -239,27 +393,37 @@
     }
     return;
   }
-  nodes_[node.id] = node;
+  Put(node);
   out_.changed.push_back(node);
+  Spread(node);
 }
 
 void Membership::OnTable(base::Millis now, const base::Address& from, const Table& table) {
   now_ = std::max(now_, now);
+  bool newcomer = Find(from) == nullptr;
   for (const Node& node : table.nodes) Merge(now, node);
-  if (!table.answer) return;
   Table reply;
-  for (const auto& [id, node] : nodes_) reply.nodes.push_back(node);
-  out_.tables.push_back({from, std::move(reply)});
+  for (uint64_t id : table.wants) {
+    auto at = nodes_.find(id);
+    if (at != nodes_.end()) reply.nodes.push_back(at->second);
+  }
+  // One that this process did not know may know others.
+  for (const Node& node : table.nodes) {
+    if (node.address() == from && newcomer) SendSummary(now, from);
+  }
+  if (!reply.nodes.empty()) out_.tables.push_back({from, std::move(reply)});
 }
 
 void Membership::Leave(base::Millis now) {
   now_ = now;
   self_.state = State::kLeft;
   ++self_.incarnation;
-  nodes_[self_.id] = self_;
+  self_.ready = false;
+  Put(self_);
   Spread(self_);
+  SendSpread();
   for (const Node* watcher : WatchersOf(self_.id)) {
-    out_.tables.push_back({watcher->address(), Table{{self_}, false}});
+    out_.tables.push_back({watcher->address(), Table{{self_}, {}}});
   }
 }
 
--- a/src/ring/membership.h
+++ b/src/ring/membership.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "base/settings.h"
+#include "wire/frame.h"
 
 namespace elderkeel::ring {
 
@@ -30,12 +31,18 @@
   uint32_t incarnation = 0;
   State state = State::kAlive;
   std::vector<uint64_t> accusers;
+  uint16_t front = 0;    // where a proxy takes clients
+  bool ready = false;    // a proxy that may be given clients
+  bool durable = false;  // a controller with a disk
 
   base::Address address() const { return {ip, port}; }
   bool reachable() const { return state == State::kAlive || state == State::kSuspect; }
+  // Of all that may differ between two views of one life.
+  uint32_t Mark() const;
   template <class A>
   void serialize(A& a) {
-    a(id, ip, port, program, zone, life, incarnation, state, accusers);
+    a(id, wire::Short(ip), port, program, wire::Short(zone), life, incarnation, state, accusers,
+      front, ready, durable);
   }
 };
 
@@ -50,30 +57,59 @@
   }
 };
 
+// Some records, and the ids of those that the sender would like to have.
 struct Table {
   std::vector<Node> nodes;
-  bool answer = false;  // the sender wants the receiver's table
+  std::vector<uint64_t> wants;
   template <class A>
   void serialize(A& a) {
-    a(nodes, answer);
+    a(nodes, wants);
+  }
+};
+
+// All that the sender knows, by marks alone: a dozen bytes a node. The receiver answers with what
+// differs, so that a table's size is never sent for the sake of one record.
+struct Summary {
+  std::vector<std::pair<uint64_t, uint32_t>> marks;
+  template <class A>
+  void save(A& a) const {
+    a(static_cast<uint32_t>(marks.size()));
+    for (const auto& [id, mark] : marks) a(id, mark);
+  }
+  template <class A>
+  void load(A& a) {
+    uint32_t size = 0;
+    a(size);
+    for (uint32_t i = 0; i < size; ++i) {
+      uint64_t id = 0;
+      uint32_t mark = 0;
+      a(id, mark);
+      marks.push_back({id, mark});
+    }
   }
 };
 
 // Who is in the fleet, as a pure state machine. Each process sends heartbeats to the watchers that
-// its place on the ring names: two of its own zone and one of another. A watcher that hears nothing
-// accuses; a second accuser makes it a death.
+// its place on the ring names: two of its own zone, one of another zone of its region, one of
+// another region; seldomer, the further away. A watcher that hears nothing accuses; a second
+// accuser, or an accusation that stays unanswered, makes it a death.
 class Membership {
  public:
   struct Options {
     Node self;
     base::Millis heartbeat = 250;
-    int missed = 5;  // heartbeats missed before a watcher accuses
+    int missed = 5;                              // heartbeats missed before a watcher accuses
+    std::map<std::string, std::string> regions;  // of zones; those not named form one of their own
     uint64_t seed = 1;
   };
   struct Effects {
     std::vector<std::pair<base::Address, Heartbeat>> heartbeats;
     std::vector<std::pair<base::Address, Table>> tables;
+    std::vector<std::pair<base::Address, Summary>> summaries;
     std::vector<Node> changed;  // nodes whose state changed, new ones included
+    bool empty() const {
+      return heartbeats.empty() && tables.empty() && summaries.empty() && changed.empty();
+    }
   };
 
   Membership(Options options, std::vector<base::Address> seeds, base::Millis now);
@@ -81,12 +117,20 @@
   void Tick(base::Millis now);
   void OnHeartbeat(base::Millis now, const base::Address& from, const Heartbeat& beat);
   void OnTable(base::Millis now, const base::Address& from, const Table& table);
+  void OnSummary(base::Millis now, const base::Address& from, const Summary& summary);
+  // This process may be given clients, or may not.
+  void SetReady(bool ready);
   // Tells the watchers that this process leaves in order.
   void Leave(base::Millis now);
   Effects Take();
 
   const Node& self() const { return self_; }
   const std::map<uint64_t, Node>& nodes() const { return nodes_; }
+  const Node* Find(const base::Address& address) const;
+  // Whether this is the one controller that speaks for its zone: the first with a disk, if any has.
+  bool FirstOfZone() const;
+  // Empty for a zone that the settings don't name.
+  const std::string& RegionOf(const std::string& zone) const;
   // Others that are alive or only suspected.
   std::vector<const Node*> Others() const;
   size_t CountAlive(Program program) const;  // this process included
@@ -94,9 +138,21 @@
   uint64_t Digest() const;
 
  private:
+  // How far one node is from another; heartbeats go less often to those further away.
+  enum class Distance : uint8_t { kZone, kRegion, kFar };
+  Distance Between(const Node& a, const Node& b) const;
+  // Of how many heartbeats of `node` the watcher gets one, that being its place among the watchers.
+  int BeatsBetween(const Node& node, const Node& watcher, size_t place) const;
+
+  void Put(const Node& node);
   void Merge(base::Millis now, Node node);
   void Refute(uint32_t seen);
   void Spread(const Node& node);
+  void SendSpread();
+  void Beat(base::Millis now);
+  void ReviewWatched(base::Millis now);
+  void SeekSeeds(base::Millis now);
+  void SendSummary(base::Millis now, const base::Address& to);
   size_t Needed(uint64_t id) const;
 
   Options options_;
@@ -104,11 +160,19 @@
   std::vector<base::Address> seeds_;
   base::Random random_;
   std::map<uint64_t, Node> nodes_;
-  std::map<uint64_t, base::Millis> heard_;  // of those that this process watches
-  std::map<base::Address, base::Millis> table_sent_;
+  std::map<uint64_t, base::Millis> heard_;    // of those that this process watches
+  std::map<uint64_t, base::Millis> accused_;  // by this process, and since when
+  std::map<base::Address, base::Millis> summary_sent_;
+  std::map<uint64_t, bool> spread_;  // what changed and is still to be told
+  mutable uint64_t digest_ = 0;      // of nodes_, while `digested_`
+  mutable bool digested_ = false;
+  bool rewatch_ = true;                             // who watches whom must be worked out anew
+  std::vector<std::pair<uint64_t, int>> watchers_;  // of this process, and one of how many beats
+  std::map<uint64_t, int> watched_;                 // by this process, the same
   base::Millis now_ = 0;
   base::Millis beat_at_ = 0;
   base::Millis seed_at_ = 0;
+  uint64_t beats_ = 0;
   size_t next_seed_ = 0;
   Effects out_;
 };
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <cereal/archives/binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <cstdint>
 #include <istream>
 #include <optional>
 #include <ostream>
@@ -27,6 +29,8 @@
   kResign,
   kQuery,
   kQueryReply,
+  kSummary,
+  kEvacuationNews,
 };
 
 constexpr size_t kMaxFrame = 8u << 20;
@@ -59,6 +63,29 @@
 };
 }  // namespace internal
 
+// A text on the wire with a length of two bytes; cereal's own takes eight, which would be most of a
+// record of names.
+class Short {
+ public:
+  explicit Short(std::string& text) : text_(&text) {}
+  explicit Short(const std::string& text) : text_(const_cast<std::string*>(&text)) {}
+  template <class A>
+  void save(A& a) const {
+    uint16_t size = static_cast<uint16_t>(std::min<size_t>(text_->size(), UINT16_MAX));
+    a(size, cereal::binary_data(text_->data(), size));
+  }
+  template <class A>
+  void load(A& a) {
+    uint16_t size = 0;
+    a(size);
+    text_->resize(size);
+    a(cereal::binary_data(text_->data(), size));
+  }
+
+ private:
+  std::string* text_;
+};
+
 template <class Message>
 std::string Encode(const Message& message) {
   std::string out;
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -48,6 +48,7 @@
 void HttpConnection::Send(std::string bytes, bool to_head, Done done) {
   done_ = std::move(done);
   any_sent_ = streaming_ = false;
+  to_head_ = to_head;
   reader_.Reset(to_head);
   if (closed_) {
     connect_timer_.Start(loop_, 0, [this] { Finish(Ending::kNotSent, "connect refused"); });
@@ -76,56 +77,84 @@
 
 void HttpConnection::OnReadable(bufferevent*, void* arg) {
   auto* self = static_cast<HttpConnection*>(arg);
-  evbuffer* in = bufferevent_get_input(self->socket_.get());
   if (!self->busy()) {
     // Bytes that no request asked for.
     self->Close();
     if (self->lost_) self->lost_();
     return;
   }
-  Limits limits = self->limits_;
-  if (self->large_) limits.body_bytes = SIZE_MAX;  // judged below, where the rest can be streamed
-  MessageReader::Progress progress = self->reader_.Read(in, limits);
+  self->Read();
+}
+
+HttpConnection::Owner HttpConnection::OwnerOf(const Message& answer) const {
+  if (!expect_header_) return Owner::kOurs;
+  const std::string* value = answer.Find(expect_header_);
+  if (!value) return Owner::kUnknown;
+  return *value == expect_value_ ? Owner::kOurs : Owner::kAnother;
+}
+
+void HttpConnection::Read() {
+  evbuffer* in = bufferevent_get_input(socket_.get());
+  Limits limits = limits_;
+  if (large_) limits.body_bytes = SIZE_MAX;  // judged below, where the rest can be streamed
+  MessageReader::Progress progress = reader_.Read(in, limits);
   if (progress == MessageReader::Progress::kMore) {
-    if (!self->large_ || self->streaming_ || !self->reader_.head_done()) return;
-    int64_t length = self->reader_.stated_length();
-    size_t held = self->limits_.body_bytes;
-    if (self->reader_.body_size() <= held && length <= static_cast<int64_t>(held)) return;
-    BodySink sink = self->large_(self->reader_.message(), length);
+    if (!large_ || streaming_ || !reader_.head_done()) return;
+    int64_t length = reader_.stated_length();
+    size_t held = limits_.body_bytes;
+    if (reader_.body_size() <= held && length <= static_cast<int64_t>(held)) return;
+    BodySink sink = large_(reader_.message(), length);
     if (!sink) {
-      self->Close();
-      self->Finish(Ending::kBroken, "answer too large");
+      Close();
+      Finish(Ending::kBroken, "answer too large");
       return;
     }
-    self->streaming_ = true;
-    self->reader_.StreamTo(std::move(sink));
+    streaming_ = true;
+    reader_.StreamTo(std::move(sink));
     return;
   }
   if (progress == MessageReader::Progress::kBad) {
-    self->Close();
-    self->Finish(Ending::kBroken, self->reader_.bad_reason());
+    Close();
+    Finish(Ending::kBroken, reader_.bad_reason());
     return;
   }
   // An answer that came before the request was handed over whole answers something else; so may
   // whatever comes after this one.
-  bool early = evbuffer_get_length(bufferevent_get_output(self->socket_.get())) > 0;
+  bool early = evbuffer_get_length(bufferevent_get_output(socket_.get())) > 0;
   bool extra = evbuffer_get_length(in) > 0;
   Outcome outcome;
-  outcome.answer = self->reader_.Take();
-  outcome.ending = self->any_sent_ ? Ending::kAnswer : Ending::kBroken;
-  if (!self->any_sent_) outcome.reason = "answer before the request";
-  if (early || extra || !outcome.answer.keep_alive) self->Close();
-  self->idle_since_ = base::SteadyMillis();
+  outcome.answer = reader_.Take();
+  Owner owner = OwnerOf(outcome.answer);
+  if (owner != Owner::kOurs) {
+    if (owner == Owner::kUnknown || streaming_ || spoilt_ || !outcome.answer.keep_alive) {
+      Close();
+      Finish(Ending::kBroken, "answer to another request");
+      return;
+    }
+    spoilt_ = true;
+    reader_.Reset(to_head_);
+    if (extra) {
+      Read();
+    } else if (stray_) {
+      stray_();
+    }
+    return;
+  }
+  used_ = true;
+  outcome.ending = any_sent_ ? Ending::kAnswer : Ending::kBroken;
+  if (!any_sent_) outcome.reason = "answer before the request";
+  if (early || extra || spoilt_ || !outcome.answer.keep_alive) Close();
+  idle_since_ = base::SteadyMillis();
   if (const std::string* keep = outcome.answer.Find("Keep-Alive")) {
     size_t at = keep->find("timeout=");
     if (at != std::string::npos) {
       size_t end = keep->find_first_not_of("0123456789", at + 8);
       int64_t seconds = ParseDecimal(std::string_view(*keep).substr(at + 8, end - at - 8));
-      if (seconds >= 0) self->keep_alive_ms_ = seconds * 1000;
+      if (seconds >= 0) keep_alive_ms_ = seconds * 1000;
     }
   }
-  Done done = std::move(self->done_);
-  self->done_ = nullptr;
+  Done done = std::move(done_);
+  done_ = nullptr;
   done(std::move(outcome));
 }
 
--- a/src/wire/http_client.h
+++ b/src/wire/http_client.h
@@ -32,12 +32,21 @@
 
   // Sends one request; `done` is called once, never from inside Send. Only when not busy.
   void Send(std::string bytes, bool to_head, Done done);
+  // The next answer belongs to the request only if its `header` says `value`. One that names
+  // another answers an earlier request, late: it reaches nobody, and the next one is awaited. One
+  // that names none can't be told from that; the connection is then broken off.
+  void Expect(const char* header, std::string value) {
+    expect_header_ = header;
+    expect_value_ = std::move(value);
+  }
   // Called once when the answer's body is larger than the limit, with the head and what came so
   // far. If it returns a sink, the rest goes there and `done` gets the answer without its body; if
   // not, the answer is broken off.
   using BodySink = std::function<void(std::string_view)>;
   using Large = std::function<BodySink(const Message& so_far, int64_t length)>;
   void OnLarge(Large large) { large_ = std::move(large); }
+  // Called when an answer of another request came, which is a sign that the server stutters.
+  void OnStray(std::function<void()> stray) { stray_ = std::move(stray); }
   // Stops reading while whoever takes the body can't keep up.
   void Pause(bool pause);
   // Called when the connection, while idle, is closed or can no longer be trusted.
@@ -48,6 +57,7 @@
   // Idle, alive and clean right now, as far as the kernel knows.
   bool Usable() const;
   bool closed() const { return closed_; }
+  bool used() const { return used_; }  // an answer came on it before
   base::Millis idle_since() const { return idle_since_; }
   // How long the server says it keeps an idle connection; 0 if it did not say.
   base::Millis keep_alive_ms() const { return keep_alive_ms_; }
@@ -56,6 +66,9 @@
  private:
   void Finish(Ending ending, std::string reason);
   void Close();
+  enum class Owner { kOurs, kAnother, kUnknown };
+  Owner OwnerOf(const Message& answer) const;
+  void Read();
   static void OnReadable(bufferevent*, void* self);
   static void OnEvent(bufferevent*, short what, void* self);
 
@@ -68,10 +81,16 @@
   Done done_;
   std::function<void()> lost_;
   Large large_;
+  std::function<void()> stray_;
+  const char* expect_header_ = nullptr;
+  std::string expect_value_;
+  bool spoilt_ = false;  // an answer of another request came; not to be used again
   bool streaming_ = false;
   bool connected_ = false;
   bool closed_ = false;
   bool any_sent_ = false;
+  bool used_ = false;
+  bool to_head_ = false;
   base::Millis idle_since_ = 0;
   base::Millis keep_alive_ms_ = 0;
 };
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -3,7 +3,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <deque>
 
 #include "base/log.h"
 
@@ -16,6 +18,18 @@
 constexpr size_t kPipelinedBytes = 64 << 10;
 }  // namespace
 
+// A request that was taken, and its answer as far as there is one.
+struct HttpServer::Slot {
+  Ticket ticket = 0;
+  bool keep_alive = true;
+  bool to_head = false;
+  bool close = false;               // the answer ends the connection
+  std::unique_ptr<Message> answer;  // held whole until its turn
+  enum class Stream { kNone, kOpen, kEnded } stream = Stream::kNone;
+  bool chunks = false;
+  EvbufferPtr held;  // of a streamed answer, until its turn
+};
+
 struct HttpServer::Connection {
   explicit Connection(HttpServer* s) : server(s), reader(HTTP_REQUEST) {}
 
@@ -24,14 +38,14 @@
   BuffereventPtr socket;
   MessageReader reader;
   base::Timer timer;
-  enum class State { kReading, kWaiting, kStreaming, kWriting, kLingering } state = State::kReading;
   enum class Clock { kNone, kIdle, kHeader, kBody } clock = Clock::kNone;
-  Ticket ticket = 0;
-  bool keep_alive = true;
-  bool to_head = false;
-  bool close_after = false;
+  std::deque<Slot> slots;            // in the order of the requests; the first may be written
+  std::unique_ptr<Message> waiting;  // read, but not to be begun before all slots are answered
+  bool no_more = false;              // nothing behind what was read so far will be taken
+  bool closing = false;              // to be closed once what was written is sent
+  bool lingering = false;
+  bool advancing = false;
   bool continued = false;
-  bool chunks = false;
   size_t counted = 0;  // bytes of this connection's body in the server's sum
 };
 
@@ -78,29 +92,77 @@
   connections_.emplace(c->id, std::move(connection));
   bufferevent_setcb(c->socket.get(), &OnReadable, &OnWritten, &OnEvent, c);
   bufferevent_enable(c->socket.get(), EV_READ | EV_WRITE);
-  WaitForRequest(c);
+  StartClock(c);
 }
 
-void HttpServer::WaitForRequest(Connection* c) {
-  c->state = Connection::State::kReading;
-  c->reader.Reset();
-  c->continued = false;
-  bufferevent_setwatermark(c->socket.get(), EV_READ, 0, 0);
-  c->clock = Connection::Clock::kIdle;
-  c->timer.Start(loop_, options_.limits().idle_ms, [this, c] { Drop(c); });
+// The clock that a connection is under: none while requests of it are under way, else as far as the
+// next request has come.
+void HttpServer::StartClock(Connection* c) {
+  using Clock = Connection::Clock;
+  Limits limits = options_.limits();
+  Clock clock = c->waiting              ? Clock::kNone
+                : c->reader.head_done() ? Clock::kBody
+                : c->reader.started()   ? Clock::kHeader
+                : c->slots.empty()      ? Clock::kIdle
+                                        : Clock::kNone;
+  // A head has its time from its first byte; a body, from its last; an idle client, from its last
+  // answer.
+  if (clock == c->clock && clock != Clock::kBody && clock != Clock::kIdle) return;
+  c->clock = clock;
+  switch (clock) {
+    case Clock::kNone:
+      c->timer.Cancel();
+      break;
+    case Clock::kIdle:
+      c->timer.Start(loop_, limits.idle_ms, [this, c] { Drop(c); });
+      break;
+    case Clock::kHeader:
+      c->timer.Start(loop_, limits.header_ms, [this, c] { Refuse(c, 408, "head too slow"); });
+      break;
+    case Clock::kBody:
+      c->timer.Start(loop_, limits.idle_ms, [this, c] { Refuse(c, 408, "body too slow"); });
+      break;
+  }
 }
 
 void HttpServer::OnReadable(bufferevent*, void* arg) {
   auto* c = static_cast<Connection*>(arg);
-  if (c->state == Connection::State::kLingering) {
+  if (c->lingering) {
     evbuffer* in = bufferevent_get_input(c->socket.get());
     evbuffer_drain(in, evbuffer_get_length(in));
     return;
   }
-  if (c->state == Connection::State::kReading) c->server->Advance(c);
+  c->server->Advance(c);
 }
 
+// Takes as many requests as may be under way at once.
 void HttpServer::Advance(Connection* c) {
+  if (c->advancing) return;  // an answer given at once; the outer loop goes on
+  c->advancing = true;
+  uint64_t id = c->id;
+  for (;;) {
+    if (connections_.count(id) == 0) return;  // dropped
+    if (c->closing || c->no_more) break;
+    if (c->waiting) {
+      if (!c->slots.empty()) break;
+      std::unique_ptr<Message> request = std::move(c->waiting);
+      Begin(c, std::move(*request));
+      continue;
+    }
+    // While leaving, what is under way is answered; the client sends the rest elsewhere.
+    if (c->slots.size() >= options_.pipeline || (leaving_ && !c->slots.empty())) break;
+    if (!ReadOne(c)) break;
+  }
+  if (connections_.count(id) == 0) return;
+  c->advancing = false;
+  // Reading goes on so that a client that leaves is noticed, but not without bound.
+  bool blocked = c->waiting || c->no_more || c->slots.size() >= options_.pipeline;
+  bufferevent_setwatermark(c->socket.get(), EV_READ, 0, blocked ? kPipelinedBytes : 0);
+  if (!c->closing) StartClock(c);
+}
+
+// False if nothing more can be read now.
+bool HttpServer::ReadOne(Connection* c) {
   Limits limits = options_.limits();
   evbuffer* in = bufferevent_get_input(c->socket.get());
   MessageReader::Progress progress = c->reader.Read(in, limits);
@@ -109,114 +171,177 @@
   c->counted = size;
   if (progress == MessageReader::Progress::kBad) {
     Refuse(c, c->reader.bad_status(), c->reader.bad_reason());
-    return;
+    return false;
   }
   if (progress == MessageReader::Progress::kMore) {
     if (buffered_ > options_.max_buffered_bytes) {
       Refuse(c, 503, "no memory for another body");
-      return;
+      return false;
     }
-    if (!c->reader.started()) return;
-    if (!c->reader.head_done()) {
-      if (c->clock != Connection::Clock::kHeader) {
-        c->clock = Connection::Clock::kHeader;
-        c->timer.Start(loop_, limits.header_ms, [this, c] { Refuse(c, 408, "head too slow"); });
-      }
-      return;
-    }
-    if (c->reader.wants_continue() && !c->continued) {
+    // In between the answers of others an interim answer would be taken for one of them.
+    if (c->reader.wants_continue() && !c->continued && c->slots.empty()) {
       c->continued = true;
       bufferevent_write(c->socket.get(), "HTTP/1.1 100 Continue\r\n\r\n", 25);
     }
-    c->clock = Connection::Clock::kBody;
-    c->timer.Start(loop_, limits.idle_ms, [this, c] { Refuse(c, 408, "body too slow"); });
-    return;
+    return false;
   }
   if (LeftWhileAsleep(c)) {
     Drop(c);
-    return;
+    return false;
   }
-  c->timer.Cancel();
-  c->clock = Connection::Clock::kNone;
-  c->state = Connection::State::kWaiting;
   Message request = c->reader.Take();
+  c->reader.Reset();
+  c->continued = false;
   buffered_ -= c->counted;
   c->counted = 0;
-  c->keep_alive = request.keep_alive;
-  c->to_head = request.method == "HEAD";
-  c->ticket = next_ticket_++;
-  // Reading goes on so that a client that leaves is noticed, but not without bound.
-  bufferevent_setwatermark(c->socket.get(), EV_READ, 0, kPipelinedBytes);
-  waiting_[c->ticket] = c;
-  handler_(c->ticket, std::move(request));
+  if (!request.keep_alive) c->no_more = true;
+  if (!c->slots.empty() && !(options_.may_overtake && options_.may_overtake(request))) {
+    c->waiting = std::make_unique<Message>(std::move(request));
+    c->no_more = false;  // looked at again when its turn comes
+    return true;
+  }
+  Begin(c, std::move(request));
+  return true;
+}
+
+void HttpServer::Begin(Connection* c, Message&& request) {
+  Slot slot;
+  slot.ticket = next_ticket_++;
+  slot.keep_alive = request.keep_alive;
+  slot.to_head = request.method == "HEAD";
+  if (!request.keep_alive) c->no_more = true;
+  Ticket ticket = slot.ticket;
+  c->slots.push_back(std::move(slot));
+  waiting_[ticket] = c;
+  StartClock(c);
+  handler_(ticket, std::move(request));
 }
 
+// What can't be a request gets an answer of ours behind those before it, and ends the connection.
 void HttpServer::Refuse(Connection* c, int status, const char* reason) {
   if (refused_) refused_(status, reason);
   c->timer.Cancel();
-  c->close_after = true;
-  c->state = Connection::State::kWriting;
-  WriteAnswer(bufferevent_get_output(c->socket.get()), OwnAnswer(status, reason), true, false, 0);
+  c->clock = Connection::Clock::kNone;
+  c->no_more = true;
+  Slot slot;
+  slot.close = true;
+  slot.answer = std::make_unique<Message>(OwnAnswer(status, reason));
+  c->slots.push_back(std::move(slot));
+  Flush(c);
 }
 
-bool HttpServer::Answer(Ticket ticket, const Message& answer, bool close) {
+HttpServer::Slot* HttpServer::Find(Ticket ticket, Connection** connection) const {
   auto at = waiting_.find(ticket);
-  if (at == waiting_.end()) return false;
-  Connection* c = at->second;
-  waiting_.erase(at);
-  c->ticket = 0;
-  c->close_after = close || leaving_ || !c->keep_alive;
-  c->state = Connection::State::kWriting;
-  WriteAnswer(bufferevent_get_output(c->socket.get()), answer, c->close_after, c->to_head,
-              options_.limits().idle_ms / 1000 - 1);
+  if (at == waiting_.end()) return nullptr;
+  for (Slot& slot : at->second->slots) {
+    if (slot.ticket != ticket) continue;
+    *connection = at->second;
+    return &slot;
+  }
+  return nullptr;
+}
+
+evbuffer* HttpServer::OutputOf(Connection* c, Slot* slot) const {
+  if (slot == &c->slots.front()) return bufferevent_get_output(c->socket.get());
+  if (!slot->held) slot->held.reset(evbuffer_new());
+  return slot->held.get();
+}
+
+// Writes all answers whose turn has come.
+void HttpServer::Flush(Connection* c) {
+  evbuffer* out = bufferevent_get_output(c->socket.get());
+  bool wrote = false;
+  while (!c->slots.empty() && !c->closing) {
+    Slot& slot = c->slots.front();
+    if (slot.held) {
+      evbuffer_add_buffer(out, slot.held.get());
+      slot.held.reset();
+    }
+    bool last = c->slots.size() == 1 && !c->waiting;
+    if (slot.answer) {
+      slot.close |= !slot.keep_alive || (leaving_ && last);
+      WriteAnswer(out, *slot.answer, slot.close, slot.to_head,
+                  options_.limits().idle_ms / 1000 - 1);
+    } else if (slot.stream != Slot::Stream::kEnded) {
+      break;
+    }
+    wrote = true;
+    bool close = slot.close;
+    waiting_.erase(slot.ticket);
+    c->slots.pop_front();
+    if (close) Close(c);
+  }
+  if (!wrote) return;
+  if (c->closing) {
+    if (evbuffer_get_length(out) > 0) return;
+    // With nothing left to write no event would tell that it is written.
+    uint64_t id = c->id;
+    loop_->Defer([this, id] {
+      auto still = connections_.find(id);
+      if (still != connections_.end()) OnWritten(nullptr, still->second.get());
+    });
+    return;
+  }
+  Advance(c);
+}
+
+// Nothing behind the answer just written will be answered here; the client sends it again.
+void HttpServer::Close(Connection* c) {
+  c->closing = true;
+  c->waiting.reset();
+  std::deque<Slot> behind = std::move(c->slots);
+  c->slots.clear();
+  for (Slot& slot : behind) {
+    if (slot.ticket && waiting_.erase(slot.ticket) && gone_) gone_(slot.ticket);
+  }
+}
+
+bool HttpServer::Answer(Ticket ticket, const Message& answer, bool close) {
+  Connection* c = nullptr;
+  Slot* slot = Find(ticket, &c);
+  if (!slot || slot->answer) return false;
+  slot->answer = std::make_unique<Message>(answer);
+  slot->close = close;
+  if (slot == &c->slots.front()) Flush(c);
   return true;
 }
 
 bool HttpServer::BeginAnswer(Ticket ticket, const Message& head, int64_t length) {
-  auto at = waiting_.find(ticket);
-  if (at == waiting_.end()) return false;
-  Connection* c = at->second;
-  c->close_after = leaving_ || !c->keep_alive;
-  c->chunks = length < 0;
-  c->state = Connection::State::kStreaming;
-  WriteHead(bufferevent_get_output(c->socket.get()), head, c->close_after, length);
+  Connection* c = nullptr;
+  Slot* slot = Find(ticket, &c);
+  if (!slot) return false;
+  slot->close = !slot->keep_alive || (leaving_ && slot == &c->slots.back() && !c->waiting);
+  slot->chunks = length < 0;
+  slot->stream = Slot::Stream::kOpen;
+  WriteHead(OutputOf(c, slot), head, slot->close, length);
   return true;
 }
 
 bool HttpServer::WriteBody(Ticket ticket, std::string_view bytes) {
-  auto at = waiting_.find(ticket);
-  if (at == waiting_.end()) return false;
+  Connection* c = nullptr;
+  Slot* slot = Find(ticket, &c);
+  if (!slot) return false;
   if (bytes.empty()) return true;
-  evbuffer* out = bufferevent_get_output(at->second->socket.get());
-  if (at->second->chunks) evbuffer_add_printf(out, "%zx\r\n", bytes.size());
+  evbuffer* out = OutputOf(c, slot);
+  if (slot->chunks) evbuffer_add_printf(out, "%zx\r\n", bytes.size());
   evbuffer_add(out, bytes.data(), bytes.size());
-  if (at->second->chunks) evbuffer_add(out, "\r\n", 2);
+  if (slot->chunks) evbuffer_add(out, "\r\n", 2);
   return true;
 }
 
 void HttpServer::EndAnswer(Ticket ticket) {
-  auto at = waiting_.find(ticket);
-  if (at == waiting_.end()) return;
-  Connection* c = at->second;
-  waiting_.erase(at);
-  c->ticket = 0;
-  c->state = Connection::State::kWriting;
-  evbuffer* out = bufferevent_get_output(c->socket.get());
-  if (c->chunks) evbuffer_add(out, "0\r\n\r\n", 5);
-  // With nothing left to write no event would tell that it is written.
-  if (evbuffer_get_length(out) == 0) {
-    uint64_t id = c->id;
-    loop_->Defer([this, id] {
-      auto still = connections_.find(id);
-      if (still != connections_.end()) OnWritten(nullptr, still->second.get());
-    });
-  }
+  Connection* c = nullptr;
+  Slot* slot = Find(ticket, &c);
+  if (!slot) return;
+  if (slot->chunks) evbuffer_add(OutputOf(c, slot), "0\r\n\r\n", 5);
+  slot->stream = Slot::Stream::kEnded;
+  if (slot == &c->slots.front()) Flush(c);
 }
 
 size_t HttpServer::Unsent(Ticket ticket) const {
-  auto at = waiting_.find(ticket);
-  if (at == waiting_.end()) return 0;
-  return evbuffer_get_length(bufferevent_get_output(at->second->socket.get()));
+  Connection* c = nullptr;
+  Slot* slot = Find(ticket, &c);
+  return slot ? evbuffer_get_length(OutputOf(c, slot)) : 0;
 }
 
 void HttpServer::Reset(Ticket ticket) {
@@ -224,7 +349,6 @@
   if (at == waiting_.end()) return;
   Connection* c = at->second;
   waiting_.erase(at);
-  c->ticket = 0;
   linger hard{1, 0};
   setsockopt(bufferevent_getfd(c->socket.get()), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
   Drop(c);
@@ -233,20 +357,18 @@
 void HttpServer::OnWritten(bufferevent*, void* arg) {
   auto* c = static_cast<Connection*>(arg);
   HttpServer* server = c->server;
-  if (c->state == Connection::State::kStreaming && server->drained_) server->drained_(c->ticket);
-  if (c->state != Connection::State::kWriting) return;
-  if (c->close_after) {
+  if (c->closing && !c->lingering) {
     server->Linger(c);
-    return;
+  } else if (!c->slots.empty() && c->slots.front().stream == Slot::Stream::kOpen &&
+             server->drained_) {
+    server->drained_(c->slots.front().ticket);
   }
-  server->WaitForRequest(c);
-  server->Advance(c);  // a pipelined request may already be here
 }
 
 // Closing with unread bytes would reset the connection and could take the answer with it: say that
 // no more comes, read what is still on the way, then close.
 void HttpServer::Linger(Connection* c) {
-  c->state = Connection::State::kLingering;
+  c->lingering = true;
   shutdown(bufferevent_getfd(c->socket.get()), SHUT_WR);
   evbuffer* in = bufferevent_get_input(c->socket.get());
   evbuffer_drain(in, evbuffer_get_length(in));
@@ -258,8 +380,9 @@
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
     auto* c = static_cast<Connection*>(arg);
     // A client may end its own side and still read the rest of an answer that is on the way.
-    if (c->state == Connection::State::kWriting && !(what & BEV_EVENT_ERROR)) {
-      c->close_after = true;
+    bool sending = evbuffer_get_length(bufferevent_get_output(c->socket.get())) > 0;
+    if (c->slots.empty() && sending && !c->lingering && !(what & BEV_EVENT_ERROR)) {
+      c->closing = true;
       return;
     }
     c->server->Drop(c);
@@ -269,7 +392,6 @@
 void HttpServer::Drop(Connection* c) {
   auto at = connections_.find(c->id);
   if (at == connections_.end()) return;
-  Ticket ticket = c->ticket;
   buffered_ -= c->counted;
   c->timer.Cancel();
   bufferevent_setcb(c->socket.get(), nullptr, nullptr, nullptr, nullptr);
@@ -277,28 +399,27 @@
   std::shared_ptr<Connection> last(std::move(at->second));
   connections_.erase(at);
   loop_->Defer([last] {});
-  if (ticket && waiting_.erase(ticket) && gone_) gone_(ticket);
+  Close(c);
 }
 
 void HttpServer::CloseIdle() {
   std::vector<Connection*> idle;
   for (auto& [id, c] : connections_) {
-    if (c->state == Connection::State::kReading && !c->reader.started() &&
-        evbuffer_get_length(bufferevent_get_input(c->socket.get())) == 0) {
+    if (!Busy(*c) && evbuffer_get_length(bufferevent_get_input(c->socket.get())) == 0) {
       idle.push_back(c.get());
     }
   }
   for (Connection* c : idle) Drop(c);
 }
 
+bool HttpServer::Busy(const Connection& c) {
+  return !c.slots.empty() || c.waiting || (c.reader.started() && !c.closing) ||
+         (!c.lingering && evbuffer_get_length(bufferevent_get_output(c.socket.get())) > 0);
+}
+
 size_t HttpServer::busy() const {
-  size_t n = 0;
-  for (const auto& [id, c] : connections_) {
-    n += c->state == Connection::State::kWaiting || c->state == Connection::State::kStreaming ||
-         c->state == Connection::State::kWriting ||
-         (c->state == Connection::State::kReading && c->reader.started());
-  }
-  return n;
+  return static_cast<size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                           [](const auto& at) { return Busy(*at.second); }));
 }
 
 }  // namespace elderkeel::wire
--- a/src/wire/http_server.h
+++ b/src/wire/http_server.h
@@ -11,7 +11,7 @@
 namespace elderkeel::wire {
 
 // Serves one HTTP listener. Requests come whole; each is answered once through its ticket, now or
-// later. Pipelined requests wait their turn.
+// later. Of pipelined requests some may be begun ahead of their turn; the answers keep the order.
 class HttpServer {
  public:
   using Ticket = uint64_t;  // names a request that waits for its answer
@@ -21,6 +21,10 @@
     // are taken only if their clients still are there.
     bool notice_sleep = false;
     size_t max_connections = 1000;
+    // So many requests of one connection are under way at once, if `may_overtake` says of each but
+    // the first that it may be begun before those in front of it are answered.
+    size_t pipeline = 1;
+    std::function<bool(const Message&)> may_overtake;
     size_t max_buffered_bytes = 64u << 20;  // all bodies being read, together
   };
   using Handler = std::function<void(Ticket, Message&&)>;
@@ -49,8 +53,8 @@
   void OnDrained(std::function<void(Ticket)> drained) { drained_ = std::move(drained); }
   // For an answer that was begun and can't be completed: the client must see a broken connection.
   void Reset(Ticket ticket);
-  // While leaving, every answer carries Connection: close, and idle connections are closed by
-  // CloseIdle().
+  // While leaving, the last answer that a connection waits for carries Connection: close, and idle
+  // connections are closed by CloseIdle().
   void SetLeaving(bool leaving) { leaving_ = leaving; }
   void CloseIdle();
   // Connections with a request read, being read, or with answer bytes still to be sent.
@@ -58,14 +62,22 @@
   size_t connections() const { return connections_.size(); }
 
  private:
+  struct Slot;
   struct Connection;
   void Accepted(int fd);
   void Drop(Connection* c);
   void Advance(Connection* c);
+  bool ReadOne(Connection* c);
+  void Begin(Connection* c, Message&& request);
+  void Flush(Connection* c);
   void Refuse(Connection* c, int status, const char* reason);
-  void WaitForRequest(Connection* c);
+  void StartClock(Connection* c);
+  void Close(Connection* c);
   void Linger(Connection* c);
+  Slot* Find(Ticket ticket, Connection** connection) const;
+  evbuffer* OutputOf(Connection* c, Slot* slot) const;
   bool LeftWhileAsleep(const Connection* c) const;
+  static bool Busy(const Connection& c);
   static void OnReadable(bufferevent*, void* arg);
   static void OnWritten(bufferevent*, void* arg);
   static void OnEvent(bufferevent*, short what, void* arg);
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -16,6 +16,10 @@
 struct BuffereventFree {
   void operator()(bufferevent* b) const { bufferevent_free(b); }
 };
+struct EvbufferFree {
+  void operator()(evbuffer* b) const { evbuffer_free(b); }
+};
+using EvbufferPtr = std::unique_ptr<evbuffer, EvbufferFree>;
 using BuffereventPtr = std::unique_ptr<bufferevent, BuffereventFree>;
 
 // No delay, and a bound on how long sent bytes may stay unacknowledged: a peer without power gives
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -83,8 +83,8 @@
   ASSERT_EQ(patched.refusal.reason, "");
   EXPECT_EQ(RevisionOf(patched.text), 9);
   EXPECT_NE(patched.text.find("\"note\":\"kept\""), std::string::npos);
-  base::Names names;
-  auto table = Table::Build(patched.text, &names);
+  base::Names names, regions;
+  auto table = Table::Build(patched.text, &names, &regions);
   ASSERT_TRUE(table);
   EXPECT_EQ(table->Match("h.example", "/b/x"), nullptr);
   EXPECT_EQ(table->Match("h.example", "/a/x"), nullptr);
@@ -97,7 +97,7 @@
 }
 
 TEST(Configuration, MatchesTheLongestPrefixAndSplitsByWeight) {
-  base::Names names;
+  base::Names names, regions;
   auto table = Table::Build(
       Document(
           1,
@@ -105,7 +105,7 @@
               Route(
                   "long", "/a/b/",
                   R"("weighted-targets":[{"target":"s1","weight":9},{"target":"s2","weight":1}])")),
-      &names);
+      &names, &regions);
   struct Case {
     const char* path;
     const char* label;
@@ -169,16 +169,22 @@
     proposed_.push_back(change);
     return proposed_.size();
   }
+  std::optional<uint64_t> Propose(const evacuation::Order& order) override {
+    orders_.push_back(order);
+    return proposed_.size() + orders_.size();
+  }
+  bool HasZone(const std::string& zone) const override { return zone == "a" || zone == "b"; }
   bool settled_ = true, leading_ = true;
   std::optional<std::string> leader_;
   std::vector<uint64_t> reads_;
   std::vector<Change> proposed_;
+  std::vector<evacuation::Order> orders_;
 };
 
 class OperatorApiTest : public ::testing::Test {
  protected:
   OperatorApiTest()
-      : api_(&log_, &state_,
+      : api_(&log_, &state_, &orders_,
              [this](uint64_t ticket, const wire::Message& answer) { answers_[ticket] = answer; }) {}
   wire::Message Call(const std::string& method, const std::string& match, const std::string& body) {
     wire::Message request;
@@ -201,6 +207,7 @@
 
   FakeLog log_;
   Register state_;
+  evacuation::Orders orders_;
   std::map<uint64_t, wire::Message> answers_;
   OperatorApi api_;
 };
@@ -285,5 +292,53 @@
   EXPECT_EQ(StatusOf(5), 200);
 }
 
+TEST_F(OperatorApiTest, EvacuatesAndTakesBackByTheLog) {
+  auto order = [&](const char* method, const char* zone) {
+    wire::Message request;
+    request.method = method;
+    request.target = std::string("/elderkeel/evacuation/") + zone;
+    return request;
+  };
+  struct Case {
+    const char* name;
+    const char* method;
+    const char* zone;
+    bool leading;
+    int status;      // 0: it waits for the log
+    bool commit;     // what it proposed is committed
+    bool evacuated;  // in the end
+  } cases[] = {
+      {"unknown zone", "POST", "nowhere", true, 404, false, false},
+      {"no such verb", "PUT", "a", true, 405, false, false},
+      {"no leader", "POST", "a", false, 503, false, false},
+      {"not committed", "POST", "a", true, 0, false, false},
+      {"committed", "POST", "a", true, 200, true, true},
+      {"sent again", "POST", "a", true, 200, false, true},
+      {"taken back", "DELETE", "a", true, 200, true, false},
+      {"taken back again", "DELETE", "a", true, 200, false, false},
+      {"never evacuated", "DELETE", "b", true, 200, false, false},
+  };
+  uint64_t ticket = 100;
+  for (const Case& c : cases) {
+    size_t before = log_.orders_.size();
+    log_.leading_ = log_.settled_ = c.leading;
+    api_.OnRequest(0, ++ticket, order(c.method, c.zone));
+    ConfirmReads();
+    EXPECT_EQ(log_.orders_.size() - before, c.commit || c.status == 0 ? 1u : 0u) << c.name;
+    if (c.commit) {
+      EXPECT_EQ(StatusOf(ticket), 0) << c.name;  // not before it is durable
+      orders_.Apply(log_.orders_.back());
+      api_.Applied(0, log_.orders_.size());
+    }
+    EXPECT_EQ(StatusOf(ticket), c.status) << c.name;
+    EXPECT_EQ(orders_.Evacuated("a"), c.evacuated) << c.name;
+    if (c.status == 0) {
+      log_.leading_ = false;
+      api_.RoleChanged(0);
+      EXPECT_EQ(StatusOf(ticket), 503) << c.name;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace elderkeel::configuration
--- a/tests/forwarding_test.cc
+++ b/tests/forwarding_test.cc
@@ -57,12 +57,12 @@
 }
 catalog::Server Entry(const std::string& id, const std::string& zone, bool draining = false,
                       int warm = 0) {
-  return {id, "s", "10.0.0.1:80", zone, "v1", 2, draining, warm};
+  return {id, "s", "10.0.0.1:80", zone, "v1", 2, draining, warm, warm};
 }
 
 class ServersTest : public ::testing::Test {
  protected:
-  ServersTest() : servers_(Options(), &names_, 1) {}
+  ServersTest() : servers_(Options(), &names_, &regions_, 1) {}
   static Servers::Options Options() {
     Servers::Options options;
     options.zone = "here";
@@ -73,17 +73,18 @@
                                      std::vector<uint32_t> tried = {}) {
     std::map<std::string, int> counts;
     for (int i = 0; i < 200; ++i) {
-      uint32_t s = servers_.Choose(now, names_.Find("s"), 100, tried, idempotent);
+      uint32_t s = servers_.Choose(now, names_.Find("s"), 100, tried, idempotent, allowed_);
       ++counts[s == Servers::kNone ? "none" : servers_.at(s).id];
     }
     return counts;
   }
-  base::Names names_;
+  base::Names names_, regions_;
+  std::vector<uint32_t> allowed_;
   Servers servers_;
 };
 
 TEST_F(ServersTest, PrefersItsZoneAndSpillsWhenThatIsBusy) {
-  servers_.Adopt(0, MakeCatalog({Entry("near", "here"), Entry("far", "there")}));
+  servers_.Adopt(MakeCatalog({Entry("near", "here"), Entry("far", "there")}));
   EXPECT_EQ(Choices(0)["near"], 200);
   uint32_t near = 0;
   servers_.Begin(0, near);
@@ -92,21 +93,20 @@
 }
 
 TEST_F(ServersTest, NeverChoosesWhatDrainsIsGoneOrWasTried) {
-  servers_.Adopt(0,
-                 MakeCatalog({Entry("a", "here"), Entry("b", "here", true), Entry("c", "there")}));
+  servers_.Adopt(MakeCatalog({Entry("a", "here"), Entry("b", "here", true), Entry("c", "there")}));
   auto changes = servers_.Adopt(
-      1, MakeCatalog({Entry("a", "here", true), Entry("b", "here", true), Entry("c", "there")}));
+      MakeCatalog({Entry("a", "here", true), Entry("b", "here", true), Entry("c", "there")}));
   ASSERT_EQ(changes.size(), 1u);
   EXPECT_EQ(changes[0].what, Servers::Change::What::kDraining);
   EXPECT_EQ(Choices(1)["c"], 200);
   EXPECT_EQ(Choices(1, true, {2})["none"], 200);
-  servers_.Adopt(2, MakeCatalog({Entry("a", "here", true)}));
+  servers_.Adopt(MakeCatalog({Entry("a", "here", true)}));
   EXPECT_EQ(Choices(2)["none"], 200);
-  EXPECT_FALSE(servers_.Any(names_.Find("s")));
+  EXPECT_FALSE(servers_.Any(names_.Find("s"), {}));
 }
 
 TEST_F(ServersTest, HoldsOutWhatFailsAndLetsItBackByATrial) {
-  servers_.Adopt(0, MakeCatalog({Entry("a", "here"), Entry("b", "there")}));
+  servers_.Adopt(MakeCatalog({Entry("a", "here"), Entry("b", "there")}));
   servers_.Begin(0, 0);
   servers_.End(10, 0, 0, Signal::kUnreachable, -1, 100);
   EXPECT_EQ(Choices(20)["b"], 200);
@@ -123,7 +123,7 @@
 }
 
 TEST_F(ServersTest, AnswersOutweighProbesThatLie) {
-  servers_.Adopt(0, MakeCatalog({Entry("a", "here"), Entry("b", "there")}));
+  servers_.Adopt(MakeCatalog({Entry("a", "here"), Entry("b", "there")}));
   base::Millis now = 0;
   servers_.Begin(now, 0);
   servers_.End(now, 0, now, Signal::kUnreachable, -1, 100);
@@ -142,7 +142,7 @@
 }
 
 TEST_F(ServersTest, UsesTheCondemnedWhenThereIsNothingElse) {
-  servers_.Adopt(0, MakeCatalog({Entry("a", "here")}));
+  servers_.Adopt(MakeCatalog({Entry("a", "here")}));
   servers_.Begin(0, 0);
   servers_.End(10, 0, 0, Signal::kUnreachable, -1, 100);
   EXPECT_EQ(Choices(20)["a"], 200);
@@ -150,7 +150,7 @@
 
 TEST_F(ServersTest, AvoidsTheSlowTheColdAndTheSilent) {
   servers_.Adopt(
-      0, MakeCatalog({Entry("a", "here"), Entry("b", "here"), Entry("cold", "here", false, 3000)}));
+      MakeCatalog({Entry("a", "here"), Entry("b", "here"), Entry("cold", "here", false, 3000)}));
   EXPECT_EQ(Choices(1)["cold"], 0);
   for (int i = 0; i < 30; ++i) {
     servers_.Begin(i, 0);
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -117,7 +117,7 @@
   void Add(const std::string& id, const std::string& address) {
     // The first one is preferred: it is in this node's zone.
     catalog_.servers.push_back(
-        {id, "s", address, catalog_.servers.empty() ? "a" : "b", "v", 2, false, 0});
+        {id, "s", address, catalog_.servers.empty() ? "a" : "b", "v", 2, false, 0, 0});
   }
   void Configure(int64_t timeout_ms = 1000, int64_t aim_ms = 2000) {
     auto route = [&](const char* label, const char* prefix, const char* variant) {
@@ -130,7 +130,7 @@
         R"({"revision":1,"route-list":[)" + route("get", "/get/", "idempotent") + "," +
         route("post", "/post/", "effectful") +
         R"(],"service-list":[{"label":"s","max-conns":100}],"limits":{"max-header-bytes":600,"max-body-bytes":1000,"header-timeout-ms":200,"idle-timeout-ms":3000}})";
-    front_->Adopt(configuration::Table::Build(text, front_->names()));
+    front_->Adopt(configuration::Table::Build(text, front_->names(), front_->regions()));
     front_->Adopt(catalog_);
     // Some requests first, so that there is budget for further sends.
     for (int i = 0; i < 4; ++i) Exchange("GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n");
@@ -234,12 +234,31 @@
   auto plain = [](const char* text) {
     return [text](const std::string&) { return std::string(text); };
   };
+  // The same with the request's id, or with another's, behind the first line.
+  auto named = [](const char* text, bool ours) {
+    return [text, ours](const std::string& r) {
+      std::string id = ours ? HeaderOf(r, "Elderkeel-Attempt-Id") : "another";
+      std::string answer = text;
+      return answer.insert(answer.find("\r\n") + 2, "Elderkeel-Attempt-Id: " + id + "\r\n");
+    };
+  };
+  const char* busy = "HTTP/1.1 503 Busy\r\nElderkeel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
   std::vector<Case> cases = {
       {"well", [](const std::string& r) { return Good(r); }, 200, 200, 1},
-      {"turned away",
-       plain("HTTP/1.1 503 Busy\r\nElderkeel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"), 200,
-       200, 2},
-      {"misdirected", plain("HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"), 200, 200, 2},
+      {"turned away", named(busy, true), 200, 200, 2},
+      // Neither is a word about this request; so it may have run.
+      {"another turned away", named(busy, false), 200, 504, 1},
+      {"nobody turned away", plain(busy), 200, 502, 1},
+      {"misdirected", named("HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", true), 200, 200, 2},
+      {"another's answer, late, then ours",
+       [](const std::string& r) { return Good("Elderkeel-Attempt-Id: other\r\n") + Good(r); }, 200,
+       200, 1},
+      {"two of others",
+       [](const std::string& r) {
+         std::string other = Good("Elderkeel-Attempt-Id: other\r\n");
+         return other + other + Good(r);
+       },
+       200, 502, 1},
       {"reset", plain("RESET"), 200, 502, 1},
       {"cut short",
        plain("HTTP/1.1 200 OK\r\nElderkeel-Server-Seal: s\r\nContent-Length: 50\r\n\r\nhalfCUT"),
@@ -252,7 +271,7 @@
        },
        200, 502, 1},
       {"answer to another",
-       [](const std::string&) { return Good("Elderkeel-Attempt-Id: other\r\n"); }, 200, 502, 1},
+       [](const std::string&) { return Good("Elderkeel-Attempt-Id: other\r\n"); }, 200, 504, 1},
       {"encoded",
        [](const std::string& r) {
          std::string good = Good(r);
@@ -265,11 +284,12 @@
                 HeaderOf(r, "Elderkeel-Attempt-Id") + "\r\n\r\nhiCUT";
        },
        200, 502, 1},
-      {"own failure", plain("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), 200, 500, 1},
+      {"own failure", named("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true), 200, 500, 1},
       // A status that promises "not run" without saying so is not passed on.
-      {"busy, but it may have run", plain("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), 200,
-       502, 1},
-      {"own refusal", plain("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"), 409, 409, 1},
+      {"busy, but it may have run", named("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true),
+       200, 502, 1},
+      {"own refusal", named("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", true), 409, 409,
+       1},
       {"more than its answer", [](const std::string& r) { return Good(r) + "HTTP/1.1 200 OK\r\n"; },
        200, 200, 1},
   };
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -90,6 +90,7 @@
     member.self.id = base::Hash(n.address.ToString());
     member.self.zone = n.zone;
     member.self.life = n.life;
+    member.self.durable = n.controller;
     member.self.program = n.controller ? ring::Program::kController : ring::Program::kProxy;
     member.seed = random_.Next();
     std::vector<Address> seeds;
@@ -224,8 +225,8 @@
 
  private:
   using Body = std::variant<consensus::Message, consensus::Member, ring::Heartbeat, ring::Table,
-                            news::Digest, news::Pull, news::ConfigNews, news::CatalogNews,
-                            duty::Resignation>;
+                            ring::Summary, news::Digest, news::Pull, news::ConfigNews,
+                            news::CatalogNews, news::EvacuationNews, duty::Resignation>;
   struct Packet {
     Millis at;
     uint64_t order;
@@ -308,6 +309,8 @@
     Node& n = *nodes_[i];
     if (auto* m = std::get_if<ring::Heartbeat>(&body)) n.members->OnHeartbeat(now, from, *m);
     if (auto* m = std::get_if<ring::Table>(&body)) n.members->OnTable(now, from, *m);
+    if (auto* m = std::get_if<ring::Summary>(&body)) n.members->OnSummary(now, from, *m);
+    if (auto* m = std::get_if<news::EvacuationNews>(&body)) n.news->OnEvacuation(now, from, *m);
     if (auto* m = std::get_if<news::Digest>(&body)) n.news->OnDigest(now, from, *m);
     if (auto* m = std::get_if<news::Pull>(&body)) n.news->OnPull(now, from, *m);
     if (auto* m = std::get_if<news::ConfigNews>(&body)) n.news->OnConfig(now, from, *m);
@@ -387,12 +390,14 @@
     }
     for (auto& [to, m] : ring.heartbeats) Send(i, to, m);
     for (auto& [to, m] : ring.tables) Send(i, to, m);
+    for (auto& [to, m] : ring.summaries) Send(i, to, m);
     if (n.controller) PumpMachine(i);
     auto news = n.news->Take();
     for (auto& [to, m] : news.digests) Send(i, to, m);
     for (auto& [to, m] : news.pulls) Send(i, to, m);
     for (auto& [to, m] : news.configs) Send(i, to, m);
     for (auto& [to, m] : news.catalogs) Send(i, to, m);
+    for (auto& [to, m] : news.evacuations) Send(i, to, m);
     if (n.news->revision() < n.adopted_revision)
       Fail(n.address.ip + " went back to an older configuration");
     n.adopted_revision = n.news->revision();
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -298,10 +298,10 @@
   news::Exchange exchange({}, &members, 0);
   auto list = [](uint64_t epoch, uint64_t sequence) {
     news::CatalogNews news;
-    news.catalog.epoch = epoch;
-    news.catalog.sequence = sequence;
-    news.catalog.servers.resize(1);
-    news.catalog.servers[0].id = std::to_string(epoch) + "." + std::to_string(sequence);
+    news.epoch = epoch;
+    news.sequence = sequence;
+    news.servers.resize(1);
+    news.servers[0].id = std::to_string(epoch) + "." + std::to_string(sequence);
     return news;
   };
   struct Step {
