--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -201,6 +201,7 @@
           n->machine->Propose(now, controller::MakeCommand(controller::Command::Kind::kEvacuation,
                                                            evacuation::Order{zone, evacuate}));
       if (index) ordered_[{n.get(), n->life, *index}] = {zone, evacuate};
+      evacuated_.erase(zone);  // until this is acknowledged, either may be in force
       return index.has_value();
     }
     return false;
