--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -60,6 +60,7 @@
       TEXT("ip", ip, true),
       TEXT("zone", zone, true),
       TEXT("region", region, false),
+      TEXT("entry", entry, false),
       TEXT("rollout", rollout, false),
       TEXT("data-dir", data_dir, false),
       ADDRESS("listeners.front", front),
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -36,6 +36,7 @@
   std::string ip;
   std::string zone;
   std::string region;
+  std::string entry;    // how clients find this fleet: `directory`, or by the platform's choice
   std::string rollout;  // the kind of deployment; empty for the first kind, a gateway
   std::string data_dir;
   std::map<std::string, std::string> zones;  // each zone's region
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -11,6 +11,8 @@
 
 namespace elderkeel::directory {
 
+constexpr int64_t kTtlS = 1;  // of an answer
+
 // Where a client stands and which host it wants, from the query of its call.
 struct Resolution {
   std::string label;
@@ -25,8 +27,8 @@
 class Directory {
  public:
   struct Options {
-    size_t most = 64;              // addresses in an answer
-    int64_t ttl_s = 1;             // of an answer
+    size_t most = 64;  // addresses in an answer
+    int64_t ttl_s = kTtlS;
     base::Millis patience = 1000;  // a directory just started waits so long to hear of its zone
   };
 
--- a/src/news/fleet.cc
+++ b/src/news/fleet.cc
@@ -127,30 +127,39 @@
 
 void Fleet::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
   base::Millis now = base::SteadyMillis();
+  // A frame that is whole and yet can't be read comes from a peer of another make.
+  auto take = [&](auto message, auto use) {
+    auto read = wire::Decode<decltype(message)>(payload);
+    if (read) {
+      use(*read);
+    } else {
+      base::Warn("message.dropped", base::Error{"news.read", from.ToString(), "can't be read"});
+    }
+  };
   switch (kind) {
     case wire::Kind::kHeartbeat:
-      if (auto m = wire::Decode<ring::Heartbeat>(payload)) members_.OnHeartbeat(now, from, *m);
+      take(ring::Heartbeat(), [&](const auto& m) { members_.OnHeartbeat(now, from, m); });
       break;
     case wire::Kind::kMembers:
-      if (auto m = wire::Decode<ring::Table>(payload)) members_.OnTable(now, from, *m);
+      take(ring::Table(), [&](const auto& m) { members_.OnTable(now, from, m); });
       break;
     case wire::Kind::kSummary:
-      if (auto m = wire::Decode<ring::Summary>(payload)) members_.OnSummary(now, from, *m);
+      take(ring::Summary(), [&](const auto& m) { members_.OnSummary(now, from, m); });
       break;
     case wire::Kind::kEvacuationNews:
-      if (auto m = wire::Decode<EvacuationNews>(payload)) exchange_.OnEvacuation(now, from, *m);
+      take(EvacuationNews(), [&](const auto& m) { exchange_.OnEvacuation(now, from, m); });
       break;
     case wire::Kind::kDigest:
-      if (auto m = wire::Decode<Digest>(payload)) exchange_.OnDigest(now, from, *m);
+      take(Digest(), [&](const auto& m) { exchange_.OnDigest(now, from, m); });
       break;
     case wire::Kind::kPull:
-      if (auto m = wire::Decode<Pull>(payload)) exchange_.OnPull(now, from, *m);
+      take(Pull(), [&](const auto& m) { exchange_.OnPull(now, from, m); });
       break;
     case wire::Kind::kConfigNews:
-      if (auto m = wire::Decode<ConfigNews>(payload)) exchange_.OnConfig(now, from, *m);
+      take(ConfigNews(), [&](const auto& m) { exchange_.OnConfig(now, from, m); });
       break;
     case wire::Kind::kCatalogNews:
-      if (auto m = wire::Decode<CatalogNews>(payload)) exchange_.OnCatalog(now, from, *m);
+      take(CatalogNews(), [&](const auto& m) { exchange_.OnCatalog(now, from, m); });
       break;
     default:
       if (hooks_.other) hooks_.other(from, kind, payload);
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "base/random.h"
+#include "directory/directory.h"
 #include "news/confirm.h"
 
 namespace elderkeel::proxy {
@@ -22,6 +23,8 @@
     : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)) {
   readiness::Readiness::Options options;
   options.grace = settings_.grace_s * 1000;
+  // Clients of a directory keep an answer up to three times as long as it says.
+  if (settings_.entry == "directory") options.notice = directory::kTtlS * 3000;
   readiness_ = readiness::Readiness(options);
 }
 
