A process that left in order and came back is told that its former life is on record

Cause: the new life's record had a lower incarnation than the one on record as left; its word was dropped and it was told nothing, so it knew nobody and nobody pushed news to it. Ruled out: a cut, a full link (it read the list for itself, at once). Who introduces itself gets a summary. Besides, the holder of the duty tells one node of each other zone what is newest at every reading: the simulation showed a list that waited two seconds for a digest that crosses zones.

--- a/src/news/exchange.cc
+++ b/src/news/exchange.cc
@@ -336,7 +336,13 @@
 }
 
 void Exchange::Confirm(base::Millis now, uint64_t epoch) {
-  if (epoch == catalog_.epoch) read_at_ = now;
+  if (epoch != catalog_.epoch) return;
+  read_at_ = now;
+  // One node of each other zone hears what the newest is: a message that was lost on its way there
+  // would else wait for a digest exchange that happens to cross zones.
+  for (const ring::Node* node : Audience(true, 0)) {
+    out_.digests.push_back({node->address(), OwnDigest(now)});
+  }
 }
 
 void Exchange::AdoptOwnReading(base::Millis now, std::vector<catalog::Server> servers) {
--- a/src/news/fleet.cc
+++ b/src/news/fleet.cc
@@ -98,7 +98,10 @@
   Pump();
   return taken;
 }
-void Fleet::Confirm(uint64_t epoch) { exchange_.Confirm(base::SteadyMillis(), epoch); }
+void Fleet::Confirm(uint64_t epoch) {
+  exchange_.Confirm(base::SteadyMillis(), epoch);
+  Pump();
+}
 void Fleet::AdoptOwnReading(std::vector<catalog::Server> servers) {
   exchange_.AdoptOwnReading(base::SteadyMillis(), std::move(servers));
   Pump();
--- a/src/ring/membership.cc
+++ b/src/ring/membership.cc
@@ -407,9 +407,12 @@
     auto at = nodes_.find(id);
     if (at != nodes_.end()) reply.nodes.push_back(at->second);
   }
-  // One that this process did not know may know others.
+  // One that says nothing but who it is may know nobody, and may not know that its former life is
+  // still on record: as left in order, say, with a higher incarnation than the new life begins
+  // with.
+  bool introduces = table.nodes.size() == 1 && table.wants.empty();
   for (const Node& node : table.nodes) {
-    if (node.address() == from && newcomer) SendSummary(now, from);
+    if (node.address() == from && (newcomer || introduces)) SendSummary(now, from);
   }
   if (!reply.nodes.empty()) out_.tables.push_back({from, std::move(reply)});
 }
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -135,6 +135,15 @@
     n.news.reset();
     n.members.reset();
   }
+  // An orderly end.
+  void Leave(size_t i) {
+    Node& n = *nodes_[i];
+    if (!n.up || n.frozen) return;
+    n.members->Leave(now);
+    if (n.machine) n.machine->Transfer(now);
+    Pump(i);
+    Crash(i);
+  }
   // Like a crash, but of the writes that were never synced the disk may have kept some: those that
   // its log holds from the oldest on. A write that is torn counts as missing, and all after it.
   void LosePower(size_t i) {
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -31,7 +31,10 @@
   for (int round = 0; round < 60 && world.fault.empty(); ++round) {
     size_t i = random.Below(world.size());
     size_t c = random.Below(static_cast<uint64_t>(controllers));
-    switch (random.Below(10)) {
+    switch (random.Below(11)) {
+      case 10:
+        world.Leave(i);
+        break;
       case 9:
         world.Evacuate(std::string(1, static_cast<char>('a' + random.Below(3))),
                        random.Below(2) == 0);
@@ -460,6 +463,29 @@
   }
 }
 
+// Found by a hunt: a proxy that had left in order came back under its old address, and nobody told
+// it that its former life was on record as left. It knew nobody, and nobody told it anything.
+TEST(Simulation, ANodeThatLeftAndCameBackIsOneOfTheFleetAgain) {
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    World::Options options;
+    options.seed = seed;
+    World world(options);
+    world.Run(2000);
+    world.Change();
+    Settle(&world, 3000, "start");
+    size_t proxy = 3 + seed % 4;
+    for (int life = 0; life < 3; ++life) {
+      world.Leave(proxy);
+      world.Run(600);
+      world.Start(proxy);
+      world.Run(1500);
+      ASSERT_TRUE(world.Change());
+      world.ChangeList();
+      Settle(&world, 3000, "life " + std::to_string(life) + " seed " + std::to_string(seed));
+    }
+  }
+}
+
 TEST(Simulation, ANodeThatMissedNewsGetsItHandedOver) {
   World world({});
   world.Run(2000);
