Directories take a region for doubtful whose controllers are all unheard

Cause: a region was lost; its nodes are watched from outside by one far node each, at one beat in eight, so for ten seconds the directories elsewhere named its dead proxies. Ruled out: no look-up possible (the third directory asked is in another region).

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -195,6 +195,7 @@
   });
   if (settings_.directory.port != 0) {
     directory::Directory::Options resolution;
+    resolution.ttl_most_s = std::max<int64_t>(1, static_cast<int64_t>(settings_.ttl_max_s));
     resolution.ttl_s =
         std::min(resolution.ttl_s, std::max<int64_t>(1, static_cast<int64_t>(settings_.ttl_max_s)));
     directory_ = std::make_unique<directory::Directory>(resolution, &fleet_->members(),
--- a/src/directory/directory.cc
+++ b/src/directory/directory.cc
@@ -62,7 +62,22 @@
   return resolution;
 }
 
-std::vector<const ring::Node*> Directory::Choose(base::Millis now, const Resolution& resolution) {
+// Most watchers of a region's nodes stand in the region; when it is lost as a whole, each of its
+// nodes is noticed by one far watcher alone, and late. Its controllers are noticed within a second
+// or so. If controllers are heard of nowhere, that says nothing about any region.
+std::set<std::string> Directory::DarkRegions() const {
+  std::set<std::string> heard, unheard;
+  for (const auto& [id, node] : members_->nodes()) {
+    if (node.program != ring::Program::kController || node.state == ring::State::kLeft) continue;
+    const std::string& region = members_->RegionOf(node.zone);
+    (node.state == ring::State::kAlive ? heard : unheard).insert(region);
+  }
+  for (const std::string& region : heard) unheard.erase(region);
+  return unheard;
+}
+
+Directory::Choice Directory::Choose(base::Millis now, const Resolution& resolution) {
+  std::set<std::string> dark = DarkRegions();
   // Rings of places, near ones first: the zone, its region, everywhere. A zone that is not known is
   // judged by the region; with neither known, everywhere is as near.
   std::string region = members_->RegionOf(resolution.zone);
@@ -78,7 +93,8 @@
                           : members_->RegionOf(node.zone) == region ? 1
                                                                     : 2];
     ++place.known;
-    if (node.state == ring::State::kAlive && node.ready) {
+    if (node.state == ring::State::kAlive && node.ready &&
+        !dark.count(members_->RegionOf(node.zone))) {
       place.good.push_back(&node);
     } else if (node.reachable()) {
       place.doubtful.push_back(&node);
@@ -86,7 +102,8 @@
       place.lost.push_back(&node);
     }
   }
-  std::vector<const ring::Node*> chosen;
+  Choice choice;
+  std::vector<const ring::Node*>& chosen = choice.nodes;
   auto take = [&](std::vector<const ring::Node*>* from, size_t most) {
     for (size_t i = 0; i < most && !from->empty() && chosen.size() < options_.most; ++i) {
       size_t pick = random_.Below(from->size());
@@ -110,14 +127,16 @@
     }
     if (!chosen.empty() && lacking == 0) break;
   }
-  if (chosen.empty() && now - started_ < options_.patience) return chosen;
+  choice.elsewhere = !chosen.empty() && places[0].known + places[1].known > 0 &&
+                     members_->RegionOf(chosen.front()->zone) != region;
+  if (chosen.empty() && now - started_ < options_.patience) return choice;
   // Doubtful knowledge: what was last known to serve is better than nothing.
   for (auto kind : {&Place::doubtful, &Place::lost}) {
     for (Place& place : places) {
       if (chosen.empty()) take(&(place.*kind), options_.most);
     }
   }
-  return chosen;
+  return choice;
 }
 
 wire::Message Directory::Answer(base::Millis now, const wire::Message& request) {
@@ -131,8 +150,8 @@
   auto resolution = Resolution::Parse(
       query == std::string::npos ? "" : std::string_view(request.target).substr(query + 1));
   if (!resolution) return wire::OwnAnswer(400, resolution.error().reason);
-  std::vector<const ring::Node*> chosen = Choose(now, *resolution);
-  if (chosen.empty()) {
+  Choice choice = Choose(now, *resolution);
+  if (choice.nodes.empty()) {
     wire::Message answer = wire::OwnAnswer(503, "no proxy is known yet");
     answer.headers.push_back({"Retry-After", "0.2"});
     return answer;
@@ -142,12 +161,14 @@
   w.StartObject();
   w.Key("address-list");
   w.StartArray();
-  for (const ring::Node* node : chosen) {
+  for (const ring::Node* node : choice.nodes) {
     w.String(base::Address{node->ip, node->front}.ToString().c_str());
   }
   w.EndArray();
   w.Key("ttl-s");
-  w.Int64(options_.ttl_s);
+  // A client whose region is lost has waited for that region's directories first; it should not
+  // have to do so again at every turn.
+  w.Int64(choice.elsewhere ? options_.ttl_most_s : options_.ttl_s);
   w.EndObject();
   wire::Message answer;
   answer.status = 200;
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,7 @@
   struct Options {
     size_t most = 64;  // addresses in an answer
     int64_t ttl_s = kTtlS;
+    int64_t ttl_most_s = kTtlS;    // of an answer that sends a client to another region
     base::Millis patience = 1000;  // a directory just started waits so long to hear of its zone
   };
 
@@ -38,10 +40,16 @@
   static constexpr std::string_view kPath = "/elderkeel/resolution";
   wire::Message Answer(base::Millis now, const wire::Message& request);
 
-  // The nodes to name; empty only if no proxy is known, or too little was heard as yet.
-  std::vector<const ring::Node*> Choose(base::Millis now, const Resolution& resolution);
+  struct Choice {
+    std::vector<const ring::Node*> nodes;  // empty only if no proxy is known, or too little as yet
+    bool elsewhere = false;                // the client's region can't serve it
+  };
+  Choice Choose(base::Millis now, const Resolution& resolution);
 
  private:
+  // Regions of whose controllers none is heard: of their proxies nothing is known for sure.
+  std::set<std::string> DarkRegions() const;
+
   Options options_;
   const ring::Membership* members_;
   base::Random random_;
--- a/src/ring/membership.cc
+++ b/src/ring/membership.cc
@@ -81,6 +81,8 @@
 
 int Membership::BeatsBetween(const Node& node, const Node& watcher, size_t place) const {
   if (place < kWatchersInZone) return 1;  // the nearest, wherever they are
+  // Controllers are few, and the loss of a whole region shows in them first.
+  if (node.program == Program::kController) return 1;
   return Between(node, watcher) == Distance::kFar ? kBeatsToFar : kBeatsToRegion;
 }
 
--- a/tests/directory_test.cc
+++ b/tests/directory_test.cc
@@ -9,7 +9,12 @@
 
 class DirectoryTest : public ::testing::Test {
  protected:
-  DirectoryTest() : members_(Options(), {}, 0), directory_({}, &members_, 1, 0) {}
+  DirectoryTest() : members_(Options(), {}, 0), directory_(Limits(), &members_, 1, 0) {}
+  static Directory::Options Limits() {
+    Directory::Options options;
+    options.ttl_most_s = 5;
+    return options;
+  }
   static ring::Membership::Options Options() {
     ring::Membership::Options options;
     options.self.id = 1;
@@ -19,7 +24,7 @@
     return options;
   }
   void Put(int n, const std::string& zone, ring::State state = ring::State::kAlive,
-           bool ready = true) {
+           bool ready = true, ring::Program program = ring::Program::kProxy) {
     ring::Node node;
     node.id = 100 + static_cast<uint64_t>(n);
     node.ip = "10.0.0." + std::to_string(n);
@@ -30,6 +35,7 @@
     node.incarnation = ++incarnation_;
     node.state = state;
     node.ready = ready;
+    node.program = program;
     members_.OnTable(0, {"10.0.9.9", 1}, ring::Table{{node}, {}});
   }
   wire::Message Call(const std::string& target, base::Millis now = 5000,
@@ -108,6 +114,29 @@
   EXPECT_EQ(Named("a1"), (Set{"2", "3"}));
 }
 
+// Found in an incident: a region was lost, and for the six seconds that it was away the directories
+// elsewhere named its proxies.
+TEST_F(DirectoryTest, ARegionOfWhoseControllersNoneIsHeardIsDoubtful) {
+  for (int n : {1, 2}) Put(n, "a1");
+  for (int n : {6, 7}) Put(n, "b1");
+  auto core = [&](int n, const char* zone, ring::State state) {
+    Put(n, zone, state, false, ring::Program::kController);
+  };
+  using Set = std::set<std::string>;
+  core(20, "b1", ring::State::kAlive);
+  core(21, "b2", ring::State::kSuspect);
+  EXPECT_EQ(Named("b1", "b"), (Set{"6", "7"}));
+  core(20, "b1", ring::State::kSuspect);
+  core(21, "b1", ring::State::kDead);
+  EXPECT_EQ(Named("b1", "b"), (Set{"1", "2"}));
+  std::string target = "/elderkeel/resolution?label=h&zone=";
+  EXPECT_NE(Call(target + "b1").body.find("\"ttl-s\":5"), std::string::npos);
+  EXPECT_NE(Call(target + "a1").body.find("\"ttl-s\":1"), std::string::npos);
+  // Nobody is well anywhere: the nearest again.
+  for (int n : {1, 2}) Put(n, "a1", ring::State::kSuspect);
+  EXPECT_EQ(Named("b1", "b"), (Set{"6", "7"}));
+}
+
 TEST_F(DirectoryTest, WaitsBrieflyForDoubtfulKnowledgeOnly) {
   Put(1, "a1", ring::State::kAlive, false);
   EXPECT_EQ(Call("/elderkeel/resolution?label=h&zone=a1", 100).status, 503);
