--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace elderkeel::simulation {
@@ -335,6 +336,77 @@
   ASSERT_EQ(exchange.Take().pulls.size(), 1u);
 }
 
+// Voters, what may be lost, and which of them have the entry on disk: is it committed?
+TEST(Consensus, CommitsOnlyWhatOutlivesTheToleratedLoss) {
+  struct Case {
+    const char* name;
+    std::vector<const char*> zones;  // of the voters; the first leads
+    consensus::Tolerance tolerance;
+    std::vector<size_t> synced;  // besides the leader
+    bool committed;
+  } cases[] = {
+      {"a majority of three", {"a", "b", "c"}, {1, 0, 0}, {1}, true},
+      {"the leader alone", {"a", "b", "c"}, {1, 0, 0}, {}, false},
+      {"three voters, two to lose: two copies", {"a", "b", "c"}, {2, 0, 0}, {1}, false},
+      {"three voters, two to lose: all", {"a", "b", "c"}, {2, 0, 0}, {1, 2}, true},
+      {"four, two to lose", {"a", "b", "c", "d"}, {2, 0, 0}, {1, 3}, true},
+      {"five, two to lose", {"a", "b", "c", "d", "e"}, {2, 0, 0}, {2, 4}, true},
+      {"no more copies than voters", {"a"}, {2, 0, 0}, {}, true},
+      {"a majority in one zone", {"a", "a", "a", "b", "b"}, {1, 1, 0}, {1, 2}, false},
+      {"a majority in two zones", {"a", "a", "a", "b", "b"}, {1, 1, 0}, {1, 3}, true},
+      {"two zones of one region", {"a", "a", "b", "c", "c"}, {1, 1, 1}, {1, 2}, false},
+      {"two regions", {"a", "a", "b", "c", "c"}, {1, 1, 1}, {2, 3}, true},
+  };
+  for (const Case& c : cases) {
+    consensus::Machine::Options options;
+    for (size_t i = 0; i < c.zones.size(); ++i) {
+      consensus::Member m;
+      m.id = i + 1;
+      m.ip = "10.0.0." + std::to_string(i + 1);
+      m.port = 7200;
+      m.zone = c.zones[i];
+      options.founders.push_back(m);
+    }
+    options.self = options.founders[0];
+    options.cluster = 7;
+    options.tolerance = c.tolerance;
+    options.regions = {{"a", "x"}, {"b", "x"}, {"c", "y"}};
+    consensus::Machine machine(options, {}, 0);
+    Millis now = 0;
+    // Grants it every vote; of its appends only those told to are answered.
+    auto turn = [&](bool sync_all) {
+      now += 10;
+      machine.Tick(now);
+      auto effects = machine.Take();
+      for (const auto& write : effects.writes) machine.Persisted(now, write.sequence, true);
+      for (const auto& out : machine.Take().messages) effects.messages.push_back(out);
+      for (const auto& out : effects.messages) {
+        consensus::Message reply = out.message;
+        reply.from = out.message.to;
+        reply.to = 1;
+        reply.granted = true;
+        if (out.message.type == consensus::MessageType::kPreVote) {
+          reply.type = consensus::MessageType::kPreVoteReply;
+        } else if (out.message.type == consensus::MessageType::kVote) {
+          reply.type = consensus::MessageType::kVoteReply;
+        } else {
+          bool synced = sync_all || std::count(c.synced.begin(), c.synced.end(), reply.from - 1);
+          if (!synced) continue;
+          reply.type = consensus::MessageType::kAppendReply;
+          if (!out.message.entries.empty()) reply.index = out.message.entries.back().index;
+          reply.entries.clear();
+        }
+        machine.Receive(now, reply, out.to);
+      }
+    };
+    for (int k = 0; k < 200 && !machine.settled(); ++k) turn(true);
+    ASSERT_TRUE(machine.settled()) << c.name;
+    consensus::Index index = *machine.Propose(now, "change");
+    for (int k = 0; k < 30; ++k) turn(false);
+    EXPECT_EQ(machine.commit() >= index, c.committed) << c.name;
+  }
+}
+
 // What was acknowledged outlives the loss that is tolerated, disks included, while every other
 // machine loses power and what it had not synced.
 TEST(Simulation, WhatWasAcknowledgedOutlivesTheLossThatIsTolerated) {
