--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "configuration/operator_api.h"
 #include "configuration/register.h"
+#include "controller/control_state.h"
 
 namespace elderkeel::configuration {
 namespace {
@@ -340,5 +341,27 @@
   }
 }
 
+TEST(ControlState, SnapshotsKeepAllOfItAndThoseOfBeforeAreRead) {
+  controller::ControlState state;
+  state.Apply(controller::MakeCommand(controller::Command::Kind::kConfiguration,
+                                      Change{false, 0, Document(2, kRoute)}));
+  state.Apply(controller::MakeCommand(controller::Command::Kind::kDuty, duty::Duty{5, 6, 7}));
+  state.Apply(controller::MakeCommand(controller::Command::Kind::kEvacuation,
+                                      evacuation::Order{"a", true}));
+  auto read = controller::ControlState::Read(wire::Encode(state));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->configuration.revision(), 2);
+  EXPECT_EQ(read->duty.epoch, 7u);
+  EXPECT_TRUE(read->orders.Evacuated("a"));
+  // Before there were evacuations a snapshot ended with the duty.
+  read =
+      controller::ControlState::Read(wire::Encode(state.configuration) + wire::Encode(state.duty));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->configuration.revision(), 2);
+  EXPECT_EQ(read->duty.epoch, 7u);
+  EXPECT_TRUE(read->orders.zones().empty());
+  EXPECT_FALSE(controller::ControlState::Read("cut"));
+}
+
 }  // namespace
 }  // namespace elderkeel::configuration
