--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -94,12 +94,6 @@
     auto at = zones.find(of_zone);
     return at == zones.end() ? std::string() : at->second;
   }
-  bool many_regions() const {
-    for (const auto& [name, of] : zones) {
-      if (of != zones.begin()->second) return true;
-    }
-    return false;
-  }
   uint16_t ControllerPort() const { return port_first; }
   uint16_t ProxyPort() const { return static_cast<uint16_t>(port_first + 1); }
 };
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -42,7 +42,6 @@
   }
   // What was spent was not sent after all.
   void Return(uint32_t service) { At(service) = std::min(cap_, At(service) + 1); }
-  double saved(uint32_t service) { return At(service); }
   double cap() const { return cap_; }
 
  private:
--- a/src/news/exchange.h
+++ b/src/news/exchange.h
@@ -155,7 +155,7 @@
     std::vector<std::string> touched;
   };
 
-  // False where it is too large to be sent unasked, or was just sent there.
+  // False where it is too large to be sent unasked. What was just sent there is not sent again.
   bool SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
   bool SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch, uint64_t sequence,
                    bool exact, bool asked);
