Hundreds of machines: zones share out by demand, silence counts, tables in parts, quiet timers

At 300 proxies a second send of a late request was never possible: two had to be saved, 1.7 may be. A dark server was forgotten with each send given up. Finding out who watches whom took N x N steps with names compared; each difference of two tables cost 12 bytes a node; each process woke 54 times a second with nothing to do; each started process had three seeds tell it everything and asked all controllers for the whole list.

Change: the slice demand: proxies level their mean of sends in flight with the digests they exchange, and share out what goes beyond 0.7 of their zone's slots to where there is room. A send given up after 2.5 mean latencies counts as a sign of failure. Tables are compared in 32 parts. Timers that repeat fire together, the fleet's tick when something is due. Seeds are asked one after the other; what a started proxy lacks it asks of the first that says to have it. Budget shares count proxies held for lost: both sides of a cut go on.

--- a/src/base/loop.cc
+++ b/src/base/loop.cc
@@ -4,9 +4,12 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
+#include "base/random.h"
+
 namespace elderkeel::base {
 
 Loop::Loop() {
@@ -85,9 +88,18 @@
   event_add(signals_.back().get(), nullptr);
 }
 
+Millis UntilMultiple(Millis now, Millis after, Millis every) {
+  // Not the same moments in all processes: those of a fleet should not all wake together.
+  static const Millis phase = static_cast<Millis>(SystemSeed() % 1000);
+  Millis due = now + std::max<Millis>(after, 0) + phase;
+  return (due + every - 1) / every * every - phase - now;
+}
+
 void Timer::Fire(evutil_socket_t, short, void* self) {
   auto* timer = static_cast<Timer*>(self);
-  if (timer->repeats_) {
+  if (timer->loop_) {
+    // Half a period at the least: a timer may fire a little early.
+    timer->Arm(timer->loop_, UntilMultiple(SteadyMillis(), timer->every_ / 2, timer->every_));
     timer->fire_();
     return;
   }
@@ -97,23 +109,23 @@
   fire();
 }
 
-void Timer::Arm(Loop* loop, Millis after, std::function<void()> fire, short flags) {
+void Timer::Arm(Loop* loop, Millis after) {
   if (after < 0) after = 0;
-  fire_ = std::move(fire);
-  bool repeats = (flags & EV_PERSIST) != 0;
-  if (!event_ || repeats != repeats_) {
-    event_.reset(event_new(loop->base(), -1, flags, &Timer::Fire, this));
-  }
-  repeats_ = repeats;
+  if (!event_) event_.reset(event_new(loop->base(), -1, 0, &Timer::Fire, this));
   timeval tv{static_cast<time_t>(after / 1000), static_cast<suseconds_t>((after % 1000) * 1000)};
   event_add(event_.get(), &tv);
 }
 
 void Timer::Start(Loop* loop, Millis after, std::function<void()> fire) {
-  Arm(loop, after, std::move(fire), 0);
+  loop_ = nullptr;
+  fire_ = std::move(fire);
+  Arm(loop, after);
 }
 void Timer::Repeat(Loop* loop, Millis every, std::function<void()> fire) {
-  Arm(loop, every, std::move(fire), EV_PERSIST);
+  loop_ = loop;
+  every_ = every;
+  fire_ = std::move(fire);
+  Arm(loop, UntilMultiple(SteadyMillis(), 1, every));
 }
 void Timer::Cancel() {
   if (event_) event_del(event_.get());
--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -60,17 +60,24 @@
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
   void Start(Loop* loop, Millis after, std::function<void()> fire);
+  // At whole multiples of `every`, counted from one moment for the whole process: timers of the
+  // same period, or of one that divides it, wake the process once.
   void Repeat(Loop* loop, Millis every, std::function<void()> fire);
   void Cancel();
   bool armed() const;
 
  private:
-  void Arm(Loop* loop, Millis after, std::function<void()> fire, short flags);
+  void Arm(Loop* loop, Millis after);
   static void Fire(evutil_socket_t, short, void* self);
 
   EventPtr event_;
   std::function<void()> fire_;
-  bool repeats_ = false;
+  Loop* loop_ = nullptr;  // set while it repeats
+  Millis every_ = 0;
 };
 
+// How long from `now` until the next whole multiple of `every` that is at least `after` away, as
+// Timer::Repeat counts them.
+Millis UntilMultiple(Millis now, Millis after, Millis every);
+
 }  // namespace elderkeel::base
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -33,18 +33,21 @@
     double& saved = At(service);
     saved = std::min(cap_, saved + bounds_.ratio * bounds_.share);
   }
-  // `reserve` leaves so much for sends that matter more than this one.
-  bool Spend(uint32_t service, double reserve = 0) {
-    double& saved = At(service);
-    if (saved < 1 + reserve) return false;
-    saved -= 1;
-    return true;
-  }
+  bool Spend(uint32_t service) { return Take(service, 0); }
+  // For sends that matter less than those after a failure: one of these stays saved, or, where a
+  // node may not save as much as two, nothing is taken unless all that may be saved is there.
+  bool SpendIfCalm(uint32_t service) { return Take(service, std::clamp(cap_ - 1, 0.0, 1.0)); }
   // What was spent was not sent after all.
   void Return(uint32_t service) { At(service) = std::min(cap_, At(service) + 1); }
   double cap() const { return cap_; }
 
  private:
+  bool Take(uint32_t service, double reserve) {
+    double& saved = At(service);
+    if (saved < 1 + reserve) return false;
+    saved -= 1;
+    return true;
+  }
   double& At(uint32_t service) {
     if (service >= saved_.size()) saved_.resize(service + 1, 0);
     return saved_[service];
--- /dev/null
+++ b/src/demand/demand.cc
@@ -0,0 +1,141 @@
+#include "demand/demand.h"
+
+#include <algorithm>
+
+#include "base/random.h"
+
+namespace elderkeel::demand {
+namespace {
+constexpr double kMeasureWeight = 0.3;    // of what was measured since the last tick
+constexpr double kPull = 0.08;            // of the mean towards this proxy's own, at each tick
+constexpr base::Millis kForgetMs = 5000;  // what was heard of a zone counts for so long
+constexpr base::Millis kLeastMs = 100;    // between two ticks: less measures nothing
+constexpr size_t kMostNames = 256;        // services and zones that a report may name
+}  // namespace
+
+uint32_t Key(const std::string& name) { return static_cast<uint32_t>(base::Hash(name)); }
+
+void Demand::Count(base::Millis now, uint32_t service, int change) {
+  Measured& m = measured_[service];
+  base::Millis since = std::max(m.at, tick_at_);
+  if (now > since) m.area += static_cast<double>(m.in_flight) * static_cast<double>(now - since);
+  m.at = std::max(m.at, now);
+  m.in_flight += change;
+}
+
+void Demand::Tick(base::Millis now) {
+  if (tick_at_ == 0) tick_at_ = now;
+  if (now - tick_at_ < kLeastMs) return;
+  double span = static_cast<double>(now - tick_at_);
+  for (const auto& [service, mean] : own_) measured_[service];
+  for (auto& [service, m] : measured_) {
+    Count(now, service, 0);
+    double measured = m.area / span;
+    m.area = 0;
+    // What changes here changes the mean at once; levelling then spreads it over the zone. What got
+    // lost on the way, or went with a proxy that ended, the pull mends.
+    auto [own, added] = own_.emplace(service, measured);
+    double& mean = own->second;
+    if (!m.known) {
+      // A mean that was heard before counts this proxy's clients already, as well as anybody's.
+      m.known = true;
+      m.smooth = measured;
+      continue;
+    }
+    double before = m.smooth;
+    m.smooth += kMeasureWeight * (measured - m.smooth);
+    mean = std::max(0.0, mean + m.smooth - before + kPull * (m.smooth - mean));
+  }
+  known_ = true;
+  tick_at_ = now;
+}
+
+Report Demand::Tell(base::Millis now, size_t proxies) const {
+  Report report;
+  if (known_) {
+    ZoneDemand own{zone_, 0, static_cast<uint16_t>(std::min<size_t>(proxies, UINT16_MAX)), {}};
+    for (const auto& [service, mean] : own_) {
+      own.means.push_back({service, static_cast<float>(mean)});
+    }
+    report.push_back(std::move(own));
+  }
+  for (const auto& [key, zone] : others_) {
+    if (now - zone.at > kForgetMs) continue;
+    ZoneDemand told{key, static_cast<uint32_t>(now - zone.at), zone.proxies, {}};
+    for (const auto& [service, mean] : zone.means) {
+      told.means.push_back({service, static_cast<float>(mean)});
+    }
+    report.push_back(std::move(told));
+  }
+  return report;
+}
+
+void Demand::Hear(base::Millis now, const Report& report) {
+  if (report.size() > kMostNames) return;
+  for (const ZoneDemand& heard : report) {
+    if (heard.means.size() > kMostNames) continue;
+    if (heard.zone == zone_) {
+      if (heard.age_ms > 0) continue;  // this zone's own mean is told by its proxies alone
+      for (const auto& [service, mean] : heard.means) {
+        if (!(mean >= 0)) continue;
+        auto [at, added] = own_.emplace(service, mean);
+        if (!added) at->second = (at->second + static_cast<double>(mean)) / 2;
+      }
+      continue;
+    }
+    base::Millis at = now - static_cast<base::Millis>(heard.age_ms);
+    if (now - at > kForgetMs) continue;
+    auto known = others_.find(heard.zone);
+    if (known == others_.end() && others_.size() >= kMostNames) continue;
+    Zone& zone = others_[heard.zone];
+    if (known != others_.end() && at <= zone.at) continue;
+    zone.at = at;
+    zone.proxies = heard.proxies;
+    zone.means.clear();
+    for (const auto& [service, mean] : heard.means) {
+      if (mean >= 0) zone.means[service] = static_cast<double>(mean);
+    }
+  }
+}
+
+double Demand::Of(base::Millis now, uint32_t zone, uint32_t service, size_t own_proxies) const {
+  if (zone == zone_) {
+    auto at = own_.find(service);
+    return at == own_.end() ? 0 : at->second * static_cast<double>(own_proxies);
+  }
+  auto at = others_.find(zone);
+  if (at == others_.end() || now - at->second.at > kForgetMs) return -1;
+  auto mean = at->second.means.find(service);
+  return mean == at->second.means.end() ? 0 : mean->second * at->second.proxies;
+}
+
+std::vector<double> ShareOut(const std::vector<Place>& places, size_t home, double home_share) {
+  std::vector<double> shares(places.size(), 0);
+  shares[home] = 1;
+  double slots = 0, demand = 0;
+  for (const Place& place : places) {
+    if (place.demand < 0) continue;
+    slots += place.slots;
+    demand += place.demand;
+  }
+  double wanted = places[home].demand;
+  if (slots <= 0 || wanted <= 0) return shares;
+  double mark = std::max(home_share, demand / slots);
+  double beyond = wanted - mark * places[home].slots;
+  if (beyond <= 0) return shares;
+  auto room = [&](size_t i) {
+    if (i == home || places[i].demand < 0) return 0.0;
+    return std::max(0.0, mark * places[i].slots - places[i].demand);
+  };
+  double rooms = 0;
+  for (size_t i = 0; i < places.size(); ++i) rooms += room(i);
+  if (rooms <= 0) return shares;
+  double away = std::min(1.0, std::min(beyond, rooms) / wanted);
+  shares[home] = 1 - away;
+  for (size_t i = 0; i < places.size(); ++i) {
+    if (i != home) shares[i] = away * room(i) / rooms;
+  }
+  return shares;
+}
+
+}  // namespace elderkeel::demand
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -19,12 +19,14 @@
 constexpr base::Millis kProbeTimeoutMs = 1000;
 constexpr base::Millis kLeastMs = 2;
 constexpr size_t kMaxQueued = 512;
-constexpr size_t kPipeline = 8;             // requests of one connection under way at once
+constexpr base::Millis kShareEveryMs = 400;  // between two looks at how busy the zones are
+constexpr double kHomeShare =
+    0.7;                         // of its zone's slots that a zone fills before it goes elsewhere
+constexpr size_t kPipeline = 8;  // requests of one connection under way at once
 constexpr base::Millis kFreshMs = 300;      // servers may forget a connection idle for longer
 constexpr base::Millis kSpreadMs = 1500;    // beyond reading the list: until its news is here
 constexpr size_t kStreamBytes = 256 << 10;  // of a streamed answer that the client has not taken
 constexpr double kMeanWeight = 0.05;
-constexpr double kSecondReserve = 1.0;  // budget left for failures by sends that are only late
 constexpr const char* kAttempt = "Elderkeel-Attempt-Id";
 constexpr const char* kRemaining = "Elderkeel-Remaining-Ms";
 constexpr const char* kExpected = "Elderkeel-Expected-Server";
@@ -70,6 +72,7 @@
             return options;
           }(),
           &services_, &regions_, base::SystemSeed()),
+      demand_(settings.zone),
       budget_(BudgetBounds(settings)),
       server_(loop,
               ServerOptions(
@@ -90,7 +93,7 @@
     record.revision = revision();
     recorder_->Request(record, true);
   });
-  SetProxies(1);
+  SetProxies(1, 1);
   tick_.Repeat(loop_, kTickMs, [this] { Tick(); });
 }
 
@@ -98,9 +101,9 @@
 
 base::Result<bool> Front::Listen() { return server_.Listen(settings_.front); }
 
-void Front::SetProxies(size_t proxies) {
+void Front::SetProxies(size_t proxies, size_t possible) {
   proxies_ = std::max<size_t>(1, proxies);
-  budget_.SetNodes(proxies_);
+  budget_.SetNodes(std::max(proxies_, possible));
 }
 
 void Front::Adopt(std::shared_ptr<const configuration::Table> table) {
@@ -171,6 +174,39 @@
   return route && route->idempotent;
 }
 
+demand::Report Front::TellDemand() { return demand_.Tell(base::SteadyMillis(), zone_proxies_); }
+
+void Front::HearDemand(const demand::Report& report) { demand_.Hear(base::SteadyMillis(), report); }
+
+void Front::ShareOut(base::Millis now) {
+  if (now < share_at_) return;
+  share_at_ = now + kShareEveryMs;
+  demand_.Tick(now);
+  for (uint32_t service = 0; service < services_.size(); ++service) {
+    std::vector<Servers::ZoneSlots> zones = servers_.SlotsByZone(service);
+    std::vector<demand::Place> places;
+    for (const auto& [zone, slots] : zones) {
+      places.push_back({slots, demand_.Of(now, demand::Key(servers_.ZoneName(zone)),
+                                          DemandKey(service), zone_proxies_)});
+    }
+    std::vector<Servers::Share> shares;
+    if (!places.empty()) {
+      std::vector<double> parts = demand::ShareOut(places, 0, kHomeShare);
+      for (size_t i = 0; i < parts.size(); ++i) {
+        if (parts[i] > 0) shares.push_back({zones[i].zone, parts[i]});
+      }
+    }
+    servers_.SetShares(service, std::move(shares));
+  }
+}
+
+uint32_t Front::DemandKey(uint32_t service) {
+  for (uint32_t i = static_cast<uint32_t>(demand_keys_.size()); i <= service; ++i) {
+    demand_keys_.push_back(demand::Key(services_.Name(i)));
+  }
+  return demand_keys_[service];
+}
+
 uint32_t Front::ChooseFor(base::Millis now, const Exchange& x) {
   return servers_.Choose(now, x.service, MeanOf(x.route_index), x.tried, x.route->idempotent,
                          x.route->regions);
@@ -375,6 +411,7 @@
   x->tried.push_back(server);
   x->last_server = server;
   servers_.Begin(now, server);
+  demand_.Begin(now, DemandKey(servers_.at(server).service));
   Ticket ticket = x->ticket;
   uint64_t id = send.id;
   connection->Expect(kAttempt, x->attempt);
@@ -488,6 +525,9 @@
     GiveBack(send.server, std::move(send.connection));
   }
   servers_.End(now, send.server, send.begun, signal, latency, mean);
+  demand_.End(now, DemandKey(servers_.at(send.server).service));
+  // Other connections to it are no better, and those that hang would tell so only by their silence.
+  if (servers_.at(send.server).held_until > 0) DropIdle(send.server);
   x->ledger.End(send.entry, fate);
   uint32_t service = servers_.at(send.server).service;
 
@@ -583,6 +623,7 @@
 }
 
 void Front::DropSends(Exchange* x, uint64_t except) {
+  base::Millis now = base::SteadyMillis();
   std::vector<Send> sends = std::move(x->sends);
   x->sends.clear();
   for (Send& send : sends) {
@@ -590,8 +631,10 @@
       x->sends.push_back(std::move(send));
       continue;
     }
-    servers_.Abandon(send.server, send.begun);
+    servers_.Abandon(now, send.server, send.begun, MeanOf(x->route_index));
+    demand_.End(now, DemandKey(servers_.at(send.server).service));
     Discard(send.server, std::move(send.connection));
+    if (servers_.at(send.server).held_until > 0) DropIdle(send.server);
   }
 }
 
@@ -652,7 +695,7 @@
   if (x->sends.size() != 1 || !x->ledger.MaySend()) return;
   uint32_t server = ChooseFor(base::SteadyMillis(), *x);
   if (server == Servers::kNone || servers_.at(server).in_flight > 0) return;
-  if (!budget_.Spend(x->service, kSecondReserve)) return;
+  if (!budget_.SpendIfCalm(x->service)) return;
   if (!SendTo(x, server)) budget_.Return(x->service);
   x->second_at = 0;
 }
@@ -708,6 +751,7 @@
     }
   }
   for (uint32_t server : servers_.DueProbes(now)) Probe(server);
+  ShareOut(now);
   for (uint32_t i = 0; i < queues_.size(); ++i) PumpQueue(i);
 }
 
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -11,6 +11,7 @@
 #include "budget/budget.h"
 #include "catalog/catalog.h"
 #include "configuration/document.h"
+#include "demand/demand.h"
 #include "evacuation/orders.h"
 #include "forwarding/ledger.h"
 #include "forwarding/servers.h"
@@ -30,14 +31,21 @@
   void Adopt(std::shared_ptr<const configuration::Table> table);
   void Adopt(const catalog::Catalog& catalog);
   void Adopt(const evacuation::Orders& orders);
-  // Proxies in sight, this one included: they share budgets and the servers' connections.
-  void SetProxies(size_t proxies);
+  // Proxies in sight, this one included, share the servers' connections; those that may exist, the
+  // budgets.
+  void SetProxies(size_t proxies, size_t possible);
   // Which one of its zone's proxies this is.
-  void SetPlace(size_t place, size_t places) { servers_.SetPlace(place, places); }
+  void SetPlace(size_t place, size_t places) {
+    zone_proxies_ = std::max<size_t>(1, places);
+    servers_.SetPlace(place, places);
+  }
   // This one's id and those of its zone's proxies.
   void SetPeers(uint64_t self, std::vector<uint64_t> peers) {
     servers_.SetPeers(self, std::move(peers));
   }
+  // How busy the zones are, for the peers and from them.
+  demand::Report TellDemand();
+  void HearDemand(const demand::Report& report);
   // Until both a configuration and a catalog are there, requests get 503.
   bool able() const { return table_ != nullptr && has_catalog_; }
 
@@ -135,6 +143,8 @@
   bool MayOvertake(const wire::Message& request) const;
   uint32_t ChooseFor(base::Millis now, const Exchange& x);
   void DropIdle(uint32_t server);
+  void ShareOut(base::Millis now);
+  uint32_t DemandKey(uint32_t service);
 
   base::Names services_;
   base::Names regions_;
@@ -142,6 +152,10 @@
   std::shared_ptr<const configuration::Table> table_;
   bool has_catalog_ = false;
   Servers servers_;
+  demand::Demand demand_;
+  std::vector<uint32_t> demand_keys_;  // of the services, by index
+  base::Millis share_at_ = 0;
+  size_t zone_proxies_ = 1;
   budget::Budget budget_;
   wire::HttpServer server_;
   std::vector<Pool> pools_;
--- a/src/forwarding/servers.cc
+++ b/src/forwarding/servers.cc
@@ -8,6 +8,7 @@
 constexpr double kPaceWeight = 0.15;
 constexpr double kLimitGrowth = 0.25;
 constexpr double kChance = 0.02;      // between servers that are as good
+constexpr double kSilentAge = 2.5;    // in mean latencies: a send given up after so long was late
 constexpr double kWarmPenalty = 1.0;  // a server that is not warm counts as twice as slow
 }  // namespace
 
@@ -164,6 +165,39 @@
   return false;
 }
 
+void Servers::SetShares(uint32_t service, std::vector<Share> shares) {
+  if (service >= shares_.size()) shares_.resize(service + 1);
+  shares_[service] = std::move(shares);
+}
+
+std::vector<Servers::ZoneSlots> Servers::SlotsByZone(uint32_t service) const {
+  std::vector<ZoneSlots> zones;
+  uint32_t own = zones_.Find(options_.zone);
+  if (own == base::Names::kNone || service >= by_service_.size()) return zones;
+  zones.push_back({own, 0});
+  for (uint32_t i : by_service_[service]) {
+    const Server& s = servers_[i];
+    if (!s.Open() || s.far) continue;
+    auto at = std::find_if(zones.begin(), zones.end(),
+                           [&](const ZoneSlots& known) { return known.zone == s.zone; });
+    if (at == zones.end()) at = zones.insert(zones.end(), {s.zone, 0});
+    at->slots += s.capacity;
+  }
+  return zones;
+}
+
+// The zone whose servers a request should go to before others.
+uint32_t Servers::DrawZone(uint32_t service) {
+  if (service < shares_.size() && !shares_[service].empty()) {
+    double draw = random_.Unit();
+    for (const Share& share : shares_[service]) {
+      if (draw < share.part) return share.zone;
+      draw -= share.part;
+    }
+  }
+  return zones_.Find(options_.zone);
+}
+
 uint32_t Servers::Choose(base::Millis now, uint32_t service, double mean_ms,
                          const std::vector<uint32_t>& tried, bool idempotent,
                          const std::vector<uint32_t>& regions) {
@@ -172,6 +206,7 @@
   uint32_t best = kNone;
   double best_score = 0;
   bool any_open = false;
+  uint32_t zone = DrawZone(service);
   auto consider = [&](bool held_too) {
     for (uint32_t i : by_service_[service]) {
       Server& s = servers_[i];
@@ -197,7 +232,7 @@
         pace = std::max(pace, static_cast<double>(now - begun) / mean_ms * 0.5);
       }
       double score = pace * (1 + static_cast<double>(s.in_flight) / s.capacity);
-      if (!s.near) score += options_.far_penalty;
+      if (s.zone != zone) score += options_.far_penalty;
       if (s.far) {
         score += options_.region_penalty + static_cast<double>(options_.region_ms) / mean_ms;
       }
@@ -229,7 +264,20 @@
   if (at != s.begun.end()) s.begun.erase(at);
 }
 
-void Servers::Abandon(uint32_t server, base::Millis begun) { Remove(server, begun); }
+void Servers::Learn(Server* s, double pace) {
+  s->pace += kPaceWeight * (std::clamp(pace, 0.1, 10.0) - s->pace);
+}
+
+// Silence ends nothing for the request that waits, but where the next one goes must not forget it:
+// a server that has gone dark gives no sign but this on a connection that is already there.
+void Servers::Abandon(base::Millis now, uint32_t server, base::Millis begun, double mean_ms) {
+  Remove(server, begun);
+  Server& s = servers_[server];
+  double age = static_cast<double>(now - begun) / std::max(1.0, mean_ms);
+  if (age < kSilentAge || now < s.warm_at) return;
+  if (age > s.pace) Learn(&s, age);
+  if (++s.failures >= 2 || s.on_trial) Hold(now, &s);
+}
 
 void Servers::Hold(base::Millis now, Server* s) {
   base::Millis hold = options_.hold_first << std::min(s->failures - 1, 6);
@@ -248,8 +296,7 @@
       s.on_trial = false;
       s.limit = std::min<double>(s.capacity + 1, s.limit + kLimitGrowth);
       if (latency_ms >= 0 && mean_ms > 0 && now >= s.warm_at) {
-        double pace = std::clamp(latency_ms / mean_ms, 0.1, 10.0);
-        s.pace += kPaceWeight * (pace - s.pace);
+        Learn(&s, latency_ms / mean_ms);
       }
       break;
     case Signal::kFull:
--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -91,6 +91,21 @@
   // Zones emptied by order. Servers of one taken back may have turned cold meanwhile: they are held
   // for cold for `doubt`, until a newer list says more.
   void SetEvacuated(base::Millis now, const std::vector<std::string>& zones, base::Millis doubt);
+  // For each service, what part of the requests goes to which zone first (by index); all to this
+  // node's own where nothing is said.
+  struct Share {
+    uint32_t zone;
+    double part;
+  };
+  void SetShares(uint32_t service, std::vector<Share> shares);
+  // The zones of this region in which the service has slots, this node's own first, and the slots.
+  struct ZoneSlots {
+    uint32_t zone;
+    double slots;
+  };
+  std::vector<ZoneSlots> SlotsByZone(uint32_t service) const;
+  const std::string& ZoneName(uint32_t zone) const { return zones_.Name(zone); }
+
   // Requests a second that a cold server of the service carries; 0: it only counts as slower.
   void SetWarmup(uint32_t service, double per_s);
   // The server says how much longer it is cold; known before the list tells it.
@@ -109,8 +124,8 @@
   // `latency_ms` < 0 where it tells nothing.
   void End(base::Millis now, uint32_t server, base::Millis begun, Signal signal, double latency_ms,
            double mean_ms);
-  // The caller gave the send up; it tells nothing about the server but its age.
-  void Abandon(uint32_t server, base::Millis begun);
+  // The caller gave the send up: no answer came within its age.
+  void Abandon(base::Millis now, uint32_t server, base::Millis begun, double mean_ms);
   std::vector<uint32_t> DueProbes(base::Millis now);
   void Probed(base::Millis now, uint32_t server, bool good);
 
@@ -120,8 +135,10 @@
 
  private:
   void Remove(uint32_t server, base::Millis begun);
+  static void Learn(Server* s, double pace);
   void Hold(base::Millis now, Server* s);
   void OrderServers();
+  uint32_t DrawZone(uint32_t service);
   void NameOwners();
   bool Owns(const Server& s) const;
   bool Cold(base::Millis now, const Server& s) const {
@@ -138,7 +155,8 @@
   base::Names* regions_;
   base::Names zones_;
   std::vector<std::string> evacuated_;
-  std::vector<double> warmup_per_s_;  // by service
+  std::vector<double> warmup_per_s_;        // by service
+  std::vector<std::vector<Share>> shares_;  // by service
   uint64_t self_ = 0;
   std::vector<uint64_t> peers_;
   base::Random random_;
--- a/src/news/exchange.h
+++ b/src/news/exchange.h
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "configuration/register.h"
+#include "demand/demand.h"
 #include "evacuation/orders.h"
 #include "ring/membership.h"
 
@@ -27,9 +28,10 @@
   int32_t catalog_age_ms = -1;  // since the platform was last read for it; -1 for never
   bool answer = false;          // the sender would like the receiver's digest
   bool sure = false;            // sent, and to be answered, over a connection
+  demand::Report demand;        // rides along; a proxy's alone
   template <class A>
   void serialize(A& a) {
-    a(revision, epoch, sequence, evacuation, catalog_age_ms, answer, sure);
+    a(revision, epoch, sequence, evacuation, catalog_age_ms, answer, sure, demand);
   }
 };
 
@@ -115,6 +117,8 @@
   Exchange(Options options, const ring::Membership* members, base::Millis now);
 
   void Tick(base::Millis now);
+  // When the next tick has something to do.
+  base::Millis DueAt() const { return digest_at_; }
   void OnDigest(base::Millis now, const base::Address& from, const Digest& digest);
   void OnPull(base::Millis now, const base::Address& from, const Pull& pull);
   void OnConfig(base::Millis now, const base::Address& from, const ConfigNews& news);
--- a/src/news/fleet.cc
+++ b/src/news/fleet.cc
@@ -65,17 +65,27 @@
 base::Result<bool> Fleet::Start() {
   auto listening = mesh_.Listen();
   if (!listening) return listening;
-  tick_.Repeat(loop_, kTickMs, [this] {
-    base::Millis now = base::SteadyMillis();
-    members_.Tick(now);
-    exchange_.Tick(now);
-    Pump();
-  });
-  members_.Tick(base::SteadyMillis());
-  Pump();
+  Tick();
   return true;
 }
 
+void Fleet::Tick() {
+  base::Millis now = base::SteadyMillis();
+  members_.Tick(now);
+  exchange_.Tick(now);
+  tick_at_ = 0;
+  Pump();
+}
+
+void Fleet::Schedule() {
+  base::Millis now = base::SteadyMillis();
+  base::Millis due = std::min(members_.DueAt(), exchange_.DueAt());
+  base::Millis wait = base::UntilMultiple(now, std::max<base::Millis>(due - now, 1), kTickMs);
+  if (tick_at_ != 0 && tick_at_ <= now + wait) return;
+  tick_at_ = now + wait;
+  tick_.Start(loop_, wait, [this] { Tick(); });
+}
+
 void Fleet::Leave() {
   members_.Leave(base::SteadyMillis());
   Pump();
@@ -89,6 +99,11 @@
   exchange_.Commit(orders);
   Pump();
 }
+void Fleet::AskDigest(const base::Address& to) {
+  Digest digest = exchange_.OwnDigest(base::SteadyMillis());
+  digest.answer = true;
+  SendDigest(to, std::move(digest));
+}
 void Fleet::SetReady(bool ready) {
   members_.SetReady(ready);
   Pump();
@@ -146,6 +161,9 @@
     case wire::Kind::kMembers:
       take(ring::Table(), [&](const auto& m) { members_.OnTable(now, from, m); });
       break;
+    case wire::Kind::kSums:
+      take(ring::Sums(), [&](const auto& m) { members_.OnSums(now, from, m); });
+      break;
     case wire::Kind::kSummary:
       take(ring::Summary(), [&](const auto& m) { members_.OnSummary(now, from, m); });
       break;
@@ -153,7 +171,12 @@
       take(EvacuationNews(), [&](const auto& m) { exchange_.OnEvacuation(now, from, m); });
       break;
     case wire::Kind::kDigest:
-      take(Digest(), [&](const auto& m) { exchange_.OnDigest(now, from, m); });
+      take(Digest(), [&](const auto& m) {
+        // Levelling takes two: what is told back is what was here before the other's was heard.
+        if (m.answer && hooks_.demand_told) told_back_ = {from, hooks_.demand_told()};
+        if (hooks_.demand_heard && !m.demand.empty()) hooks_.demand_heard(m.demand);
+        exchange_.OnDigest(now, from, m);
+      });
       break;
     case wire::Kind::kPull:
       take(Pull(), [&](const auto& m) { exchange_.OnPull(now, from, m); });
@@ -178,6 +201,18 @@
   }
 }
 
+void Fleet::SendDigest(const base::Address& to, Digest digest) {
+  if (digest.answer) {
+    if (hooks_.demand_told) digest.demand = hooks_.demand_told();
+  } else if (to == told_back_.first) {
+    digest.demand = std::move(told_back_.second);
+    told_back_ = {};
+  }
+  if (digest.sure || !mesh_.SendDatagram(to, wire::Kind::kDigest, digest)) {
+    mesh_.Send(to, wire::Kind::kDigest, digest);
+  }
+}
+
 void Fleet::Pump() {
   if (pumping_) return;
   pumping_ = true;
@@ -206,14 +241,9 @@
         SendSmall(to, wire::Kind::kMembers, bytes);
       }
     }
+    for (auto& [to, m] : ring.sums) mesh_.SendDatagram(to, wire::Kind::kSums, m);
     for (auto& [to, m] : ring.summaries) SendSmall(to, wire::Kind::kSummary, wire::Encode(m));
-    for (auto& [to, m] : news.digests) {
-      if (m.sure) {
-        mesh_.Send(to, wire::Kind::kDigest, m);
-      } else {
-        mesh_.SendDatagram(to, wire::Kind::kDigest, m);
-      }
-    }
+    for (auto& [to, m] : news.digests) SendDigest(to, std::move(m));
     for (auto& [to, m] : news.pulls) mesh_.Send(to, wire::Kind::kPull, m);
     for (auto& [to, m] : news.configs) mesh_.Send(to, wire::Kind::kConfigNews, m);
     for (auto& [to, m] : news.catalogs) mesh_.Send(to, wire::Kind::kCatalogNews, m);
@@ -224,6 +254,7 @@
     if (ring.empty() && news.empty()) break;
   }
   pumping_ = false;
+  Schedule();
 }
 
 }  // namespace elderkeel::news
--- a/src/news/fleet.h
+++ b/src/news/fleet.h
@@ -18,6 +18,9 @@
     std::function<void()> catalog_adopted;
     std::function<void()> evacuation_adopted;
     std::function<void(const ring::Node&)> node_changed;
+    // What digests carry of how busy the zones are.
+    std::function<demand::Report()> demand_told;
+    std::function<void(const demand::Report&)> demand_heard;
     // Messages of the other slices.
     std::function<void(const base::Address&, wire::Kind, std::string_view)> other;
   };
@@ -36,6 +39,8 @@
   bool Publish(catalog::Catalog catalog);
   void Confirm(uint64_t epoch);
   void AdoptOwnReading(std::vector<catalog::Server> servers);
+  // Asks a node what it has; if it has more than this one, that is then asked for.
+  void AskDigest(const base::Address& to);
   // This proxy may be given clients, or may not.
   void SetReady(bool ready);
   // Controllers in sight, those of the own zone first, then the seeds.
@@ -44,6 +49,10 @@
  private:
   void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
   void Pump();
+  void SendDigest(const base::Address& to, Digest digest);
+  void Tick();
+  // Ticks when something is due next, not more often than needed: an idle node sleeps.
+  void Schedule();
   void SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes);
 
   base::Loop* loop_;
@@ -53,6 +62,8 @@
   ring::Membership members_;
   Exchange exchange_;
   base::Timer tick_;
+  base::Millis tick_at_ = 0;
+  std::pair<base::Address, demand::Report> told_back_;  // goes with the answer to a digest
   bool pumping_ = false;
 };
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -13,6 +13,7 @@
 
 constexpr base::Millis kTickMs = 100;
 constexpr base::Millis kAskEveryMs = 250;
+constexpr base::Millis kConfirmEveryMs = 100;  // the core answers all proxies that just started
 constexpr base::Millis kHurryMs = 25;  // between looks at what is still missing after a start
 constexpr base::Millis kFirstCatalogMs = 1500;  // a node that has none asks for itself after this
 constexpr size_t kTelemetryFileBytes = 4u << 20;
@@ -51,6 +52,8 @@
     front_->Adopt(fleet_->news().orders());
     base::Info("evacuation.adopted", {{"version", fleet_->news().orders().version()}});
   };
+  hooks.demand_told = [this] { return front_->TellDemand(); };
+  hooks.demand_heard = [this](const demand::Report& report) { front_->HearDemand(report); };
   hooks.node_changed = [this](const ring::Node&) { fleet_changed_ = true; };
   hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
     OnMessage(from, kind, payload);
@@ -173,10 +176,15 @@
   if (controllers.empty()) return;
   if (nonce_ == 0) nonce_ = base::SystemSeed() | 1;
   const base::Address& to = controllers[next_controller_++ % controllers.size()];
-  fleet_->mesh().Send(to, wire::Kind::kConfirm, news::Confirm{nonce_});
-  // The same controller has news if this node has none.
-  if (fleet_->news().revision() < std::max<int64_t>(1, wanted_revision_)) {
-    fleet_->mesh().Send(to, wire::Kind::kPull, news::Pull{});
+  if (now >= confirm_at_) {
+    confirm_at_ = now + kConfirmEveryMs;
+    fleet_->mesh().Send(to, wire::Kind::kConfirm, news::Confirm{nonce_});
+  }
+  // What it lacks it asks of the first that says to have it: the whole of it is large, and must not
+  // come from several at once.
+  if (fleet_->news().revision() < std::max<int64_t>(1, wanted_revision_) ||
+      !fleet_->news().has_catalog()) {
+    fleet_->AskDigest(to);
   }
 }
 
@@ -222,7 +230,8 @@
   if (!fleet_changed_) return;
   fleet_changed_ = false;
   const ring::Membership& members = fleet_->members();
-  front_->SetProxies(members.CountAlive(ring::Program::kProxy));
+  front_->SetProxies(members.CountAlive(ring::Program::kProxy),
+                     members.CountPossible(ring::Program::kProxy));
   size_t place = 0, places = 0;
   std::vector<uint64_t> peers;
   for (const auto& [id, node] : members.nodes()) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -52,6 +52,7 @@
 
   uint64_t nonce_ = 0;
   base::Millis ask_at_ = 0;
+  base::Millis confirm_at_ = 0;
   size_t next_controller_ = 0;
   int64_t wanted_revision_ = -1;  // what the core confirmed as current
   base::Millis read_at_ = 0;
--- a/src/ring/membership.cc
+++ b/src/ring/membership.cc
@@ -11,7 +11,9 @@
 constexpr int kBeatsToRegion = 4;  // of so many heartbeats one goes to a watcher in another zone,
 constexpr int kBeatsToFar = 8;     // and one to a watcher in another region
 constexpr int kLostEvery = 4;      // of so many beats one also goes to a node held for lost
-constexpr base::Millis kSeedGap = 500;    // while alone
+constexpr base::Millis kSeedGap = 150;   // while alone
+constexpr base::Millis kSeedSoon = 300;  // while a seed is not known yet, for some time
+constexpr base::Millis kSeedEager = 5000;
 constexpr base::Millis kSeedCalm = 5000;  // once others are known
 }  // namespace
 
@@ -34,8 +36,10 @@
       self_(options_.self),
       seeds_(std::move(seeds)),
       random_(options_.seed),
+      born_(now),
       now_(now) {
   self_.incarnation = 1;
+  next_seed_ = self_.id;  // not all begin with the same one
   Put(self_);
 }
 
@@ -86,11 +90,25 @@
   return Between(node, watcher) == Distance::kFar ? kBeatsToFar : kBeatsToRegion;
 }
 
+namespace {
+uint64_t SumOf(const Node& node) {
+  return base::Random(node.id ^ (uint64_t{node.Mark()} << 16)).Next();
+}
+}  // namespace
+
 void Membership::Put(const Node& node) {
   Node& have = nodes_[node.id];
-  rewatch_ |= have.id == 0 || have.reachable() != node.reachable();
+  bool listed = have.id != 0 && have.reachable();
+  if (listed != node.reachable() || have.zone != node.zone) {
+    if (listed) rings_[have.zone].erase(have.id);
+    if (node.reachable()) rings_[node.zone][node.id] = &have;
+    rewatch_ = true;
+  }
+  rewatch_ |= have.id == 0;
+  uint64_t& sum = sums_.parts[PartOf(node.id)];
+  if (have.id != 0) sum ^= SumOf(have);
   have = node;
-  digested_ = false;
+  sum ^= SumOf(have);
 }
 
 std::vector<const Node*> Membership::Others() const {
@@ -107,14 +125,16 @@
   return n;
 }
 
+size_t Membership::CountPossible(Program program) const {
+  size_t n = 0;
+  for (const auto& [id, node] : nodes_) n += node.program == program && node.state != State::kLeft;
+  return n;
+}
+
 uint64_t Membership::Digest() const {
-  if (digested_) return digest_;
-  digest_ = 0;
-  for (const auto& [id, node] : nodes_) {
-    digest_ ^= base::Random(id ^ (uint64_t{node.Mark()} << 16)).Next();
-  }
-  digested_ = true;
-  return digest_;
+  uint64_t digest = 0;
+  for (uint64_t part : sums_.parts) digest ^= part;
+  return digest;
 }
 
 // The next ones clockwise from a node's place: two of its zone, one of another zone of its region
@@ -123,19 +143,26 @@
   std::vector<const Node*> watchers, spare;
   auto of = nodes_.find(id);
   if (of == nodes_.end()) return watchers;
+  // More than this from one zone are never chosen; so the cost hardly grows with the fleet.
+  std::vector<const Node*> next;
+  for (const auto& [zone, ring] : rings_) {
+    auto at = ring.upper_bound(id);
+    for (size_t i = 0; i < std::min(ring.size(), kWatchersInZone + 2); ++i, ++at) {
+      if (at == ring.end()) at = ring.begin();
+      if (at->first != id) next.push_back(at->second);
+    }
+  }
+  std::sort(next.begin(), next.end(), [id](const Node* a, const Node* b) {
+    return a->id - id < b->id - id;  // clockwise, over the end of the ring
+  });
   size_t count[3] = {0, 0, 0};
-  auto at = std::next(of);
-  for (size_t i = 1; i < nodes_.size(); ++i, ++at) {
-    if (at == nodes_.end()) at = nodes_.begin();
-    const Node& node = at->second;
-    if (!node.reachable()) continue;
-    size_t distance = static_cast<size_t>(Between(of->second, node));
+  for (const Node* node : next) {
+    size_t distance = static_cast<size_t>(Between(of->second, *node));
     if (count[distance] < (distance == 0 ? kWatchersInZone : 1)) {
       ++count[distance];
-      watchers.push_back(&node);
-      if (count[0] >= kWatchersInZone && count[1] > 0 && count[2] > 0) break;
-    } else if (spare.size() <= kWatchersInZone) {
-      spare.push_back(&node);
+      watchers.push_back(node);
+    } else {
+      spare.push_back(node);
     }
   }
   for (const Node* node : spare) {
@@ -286,12 +313,21 @@
 void Membership::SeekSeeds(base::Millis now) {
   if (now < seed_at_ || seeds_.empty()) return;
   bool alone = Others().empty();
-  seed_at_ = now + (alone ? kSeedGap : kSeedCalm);
-  Table table{{self_}, {}};
+  // Seeds that nobody has told of: they and those that know them may be a fleet of their own.
+  std::vector<const base::Address*> unknown;
+  for (const base::Address& seed : seeds_) {
+    if (!Find(seed)) unknown.push_back(&seed);
+  }
+  bool soon = alone || (!unknown.empty() && now - born_ < kSeedEager);
+  seed_at_ = now + (alone ? kSeedGap : soon ? kSeedSoon : kSeedCalm);
+  // One after the other: each answers with all that it knows, which in a large fleet is a lot.
+  size_t turn = next_seed_++;
   if (alone) {
-    for (const base::Address& seed : seeds_) out_.tables.push_back({seed, table});
+    out_.tables.push_back({seeds_[turn % seeds_.size()], Table{{self_}, {}}});
+  } else if (!unknown.empty()) {
+    out_.tables.push_back({*unknown[turn % unknown.size()], Table{{self_}, {}}});
   } else if (CountAlive(Program::kController) == (self_.program == Program::kController ? 1 : 0)) {
-    out_.tables.push_back({seeds_[next_seed_++ % seeds_.size()], table});
+    out_.tables.push_back({seeds_[turn % seeds_.size()], Table{{self_}, {}}});
   }
 }
 
@@ -311,6 +347,11 @@
   SendSpread();
 }
 
+base::Millis Membership::DueAt() const {
+  if (!spread_.empty()) return now_;
+  return seeds_.empty() ? beat_at_ : std::min(beat_at_, seed_at_);
+}
+
 void Membership::OnHeartbeat(base::Millis now, const base::Address& from, const Heartbeat& beat) {
   now_ = std::max(now_, now);
   auto at = nodes_.find(beat.id);
@@ -324,15 +365,34 @@
     out_.tables.push_back({from, Table{{at->second}, {}}});
     return;
   }
-  if (beat.members != Digest()) SendSummary(now, from);
+  if (beat.members != Digest()) SendSums(now, from);
+}
+
+void Membership::SendSums(base::Millis now, const base::Address& to) {
+  base::Millis& sent = sums_sent_[to];
+  if (sent != 0 && now - sent < kSummaryGap) return;
+  sent = now;
+  out_.sums.push_back({to, sums_});
+}
+
+void Membership::OnSums(base::Millis now, const base::Address& from, const Sums& sums) {
+  now_ = std::max(now_, now);
+  uint32_t differ = 0;
+  for (size_t i = 0; i < kParts; ++i) {
+    if (sums.parts[i] != sums_.parts[i]) differ |= uint32_t{1} << i;
+  }
+  if (differ != 0) SendSummary(now, from, differ);
 }
 
-void Membership::SendSummary(base::Millis now, const base::Address& to) {
+void Membership::SendSummary(base::Millis now, const base::Address& to, uint32_t parts) {
   base::Millis& sent = summary_sent_[to];
   if (sent != 0 && now - sent < kSummaryGap) return;
   sent = now;
   Summary summary;
-  for (const auto& [id, node] : nodes_) summary.marks.push_back({id, node.Mark()});
+  summary.parts = parts;
+  for (const auto& [id, node] : nodes_) {
+    if (summary.Has(id)) summary.marks.push_back({id, node.Mark()});
+  }
   out_.summaries.push_back({to, std::move(summary)});
 }
 
@@ -341,6 +401,7 @@
   Table table;
   std::map<uint64_t, uint32_t> theirs(summary.marks.begin(), summary.marks.end());
   for (const auto& [id, node] : nodes_) {
+    if (!summary.Has(id)) continue;
     auto at = theirs.find(id);
     if (at == theirs.end() || at->second != node.Mark()) table.nodes.push_back(node);
   }
@@ -414,7 +475,7 @@
   // with.
   bool introduces = table.nodes.size() == 1 && table.wants.empty();
   for (const Node& node : table.nodes) {
-    if (node.address() == from && (newcomer || introduces)) SendSummary(now, from);
+    if (node.address() == from && (newcomer || introduces)) SendSummary(now, from, UINT32_MAX);
   }
   if (!reply.nodes.empty()) out_.tables.push_back({from, std::move(reply)});
 }
--- a/src/ring/membership.h
+++ b/src/ring/membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
@@ -67,19 +68,35 @@
   }
 };
 
-// All that the sender knows, by marks alone: a dozen bytes a node. The receiver answers with what
-// differs, so that a table's size is never sent for the sake of one record.
+// A table is compared in parts: the ring is cut into so many arcs of the same length.
+constexpr size_t kParts = 32;
+inline size_t PartOf(uint64_t id) { return id >> 59; }
+
+// A digest of each part of the sender's table. Two tables that differ in a few records are brought
+// together for little more than those records, however many nodes there are.
+struct Sums {
+  std::array<uint64_t, kParts> parts{};
+  template <class A>
+  void serialize(A& a) {
+    for (uint64_t& part : parts) a(part);
+  }
+};
+
+// What the sender knows of some parts, by marks alone: a dozen bytes a node. The receiver answers
+// with what differs.
 struct Summary {
+  uint32_t parts = UINT32_MAX;  // bit i: all of part i is named
   std::vector<std::pair<uint64_t, uint32_t>> marks;
+  bool Has(uint64_t id) const { return (parts >> PartOf(id) & 1) != 0; }
   template <class A>
   void save(A& a) const {
-    a(static_cast<uint32_t>(marks.size()));
+    a(parts, static_cast<uint32_t>(marks.size()));
     for (const auto& [id, mark] : marks) a(id, mark);
   }
   template <class A>
   void load(A& a) {
     uint32_t size = 0;
-    a(size);
+    a(parts, size);
     for (uint32_t i = 0; i < size; ++i) {
       uint64_t id = 0;
       uint32_t mark = 0;
@@ -105,18 +122,23 @@
   struct Effects {
     std::vector<std::pair<base::Address, Heartbeat>> heartbeats;
     std::vector<std::pair<base::Address, Table>> tables;
+    std::vector<std::pair<base::Address, Sums>> sums;
     std::vector<std::pair<base::Address, Summary>> summaries;
     std::vector<Node> changed;  // nodes whose state changed, new ones included
     bool empty() const {
-      return heartbeats.empty() && tables.empty() && summaries.empty() && changed.empty();
+      return heartbeats.empty() && tables.empty() && sums.empty() && summaries.empty() &&
+             changed.empty();
     }
   };
 
   Membership(Options options, std::vector<base::Address> seeds, base::Millis now);
 
   void Tick(base::Millis now);
+  // When the next tick has something to do.
+  base::Millis DueAt() const;
   void OnHeartbeat(base::Millis now, const base::Address& from, const Heartbeat& beat);
   void OnTable(base::Millis now, const base::Address& from, const Table& table);
+  void OnSums(base::Millis now, const base::Address& from, const Sums& sums);
   void OnSummary(base::Millis now, const base::Address& from, const Summary& summary);
   // This process may be given clients, or may not.
   void SetReady(bool ready);
@@ -134,6 +156,8 @@
   // Others that are alive or only suspected.
   std::vector<const Node*> Others() const;
   size_t CountAlive(Program program) const;  // this process included
+  // Those held for lost too: a cut does not tell from a death, and both sides of one go on.
+  size_t CountPossible(Program program) const;
   std::vector<const Node*> WatchersOf(uint64_t id) const;
   uint64_t Digest() const;
 
@@ -144,6 +168,8 @@
   // Of how many heartbeats of `node` the watcher gets one, that being its place among the watchers.
   int BeatsBetween(const Node& node, const Node& watcher, size_t place) const;
 
+  // The nodes of one zone that are reachable, by their place on the ring.
+  using ZoneRing = std::map<uint64_t, const Node*>;
   void Put(const Node& node);
   void Merge(base::Millis now, Node node);
   void Refute(uint32_t seen);
@@ -152,7 +178,9 @@
   void Beat(base::Millis now);
   void ReviewWatched(base::Millis now);
   void SeekSeeds(base::Millis now);
-  void SendSummary(base::Millis now, const base::Address& to);
+  void SendSums(base::Millis now, const base::Address& to);
+  // Of the parts whose bits are set.
+  void SendSummary(base::Millis now, const base::Address& to, uint32_t parts);
   size_t Needed(uint64_t id) const;
 
   Options options_;
@@ -160,15 +188,16 @@
   std::vector<base::Address> seeds_;
   base::Random random_;
   std::map<uint64_t, Node> nodes_;
+  std::map<std::string, ZoneRing> rings_;     // by zone
   std::map<uint64_t, base::Millis> heard_;    // of those that this process watches
   std::map<uint64_t, base::Millis> accused_;  // by this process, and since when
-  std::map<base::Address, base::Millis> summary_sent_;
-  std::map<uint64_t, bool> spread_;  // what changed and is still to be told
-  mutable uint64_t digest_ = 0;      // of nodes_, while `digested_`
-  mutable bool digested_ = false;
+  std::map<base::Address, base::Millis> sums_sent_, summary_sent_;
+  std::map<uint64_t, bool> spread_;                 // what changed and is still to be told
+  Sums sums_;                                       // of nodes_, kept up to date with each change
   bool rewatch_ = true;                             // who watches whom must be worked out anew
   std::vector<std::pair<uint64_t, int>> watchers_;  // of this process, and one of how many beats
   std::map<uint64_t, int> watched_;                 // by this process, the same
+  base::Millis born_ = 0;
   base::Millis now_ = 0;
   base::Millis beat_at_ = 0;
   base::Millis seed_at_ = 0;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -31,6 +31,7 @@
   kQueryReply,
   kSummary,
   kEvacuationNews,
+  kSums,
 };
 
 constexpr size_t kMaxFrame = 8u << 20;
--- a/tests/forwarding_test.cc
+++ b/tests/forwarding_test.cc
@@ -162,6 +162,62 @@
   EXPECT_EQ(Choices(5000)["b"], 0);  // out for long without an answer
 }
 
+// A server that has gone dark on connections that are there says nothing; sends given up do.
+TEST_F(ServersTest, HoldsOutWhatStaysSilent) {
+  servers_.Adopt(0, MakeCatalog({Entry("a", "here"), Entry("b", "there")}));
+  auto silence = [&](base::Millis now, base::Millis age) {
+    servers_.Begin(now - age, 0);
+    servers_.Abandon(now, 0, now - age, 100);
+  };
+  silence(1000, 150);  // the client left early: nothing is learnt
+  silence(1000, 150);
+  EXPECT_EQ(servers_.at(0).held_until, 0);
+  silence(2000, 400);
+  servers_.Begin(2000, 0);
+  servers_.End(2090, 0, 2000, Signal::kGood, 90, 100);  // an answer speaks for it
+  silence(3000, 400);
+  EXPECT_EQ(servers_.at(0).held_until, 0);
+  silence(3500, 400);
+  EXPECT_EQ(Choices(3501)["b"], 200);
+  EXPECT_EQ(servers_.DueProbes(100000).size(), 1u);
+}
+
+TEST_F(ServersTest, GoesWhereItsZonesSharesSay) {
+  servers_.Adopt(0, MakeCatalog({Entry("a", "here"), Entry("b", "there"), Entry("c", "yonder")}));
+  auto zones = servers_.SlotsByZone(names_.Find("s"));
+  ASSERT_EQ(zones.size(), 3u);
+  EXPECT_EQ(servers_.ZoneName(zones[0].zone), "here");
+  EXPECT_EQ(zones[1].slots, 2);
+  servers_.SetShares(names_.Find("s"), {{zones[0].zone, 0.5}, {zones[1].zone, 0.5}});
+  auto choices = Choices(1);
+  EXPECT_NEAR(choices["a"], 100, 30);
+  EXPECT_NEAR(choices["b"], 100, 30);
+  EXPECT_EQ(choices["c"], 0);
+}
+
+TEST(Budget, LateSendsLeaveSomethingForFailures) {
+  struct Case {
+    double slack;  // of ten nodes
+    int earned;    // requests before it is asked
+    bool calm;
+    bool spend;
+  } cases[] = {
+      {60, 30, true, true},    // 4.5 saved of 4.8
+      {60, 12, false, true},   // 1.8 saved: one is left for failures
+      {20, 30, true, true},    // 1.6 is all that may be saved, and it is there
+      {20, 9, false, true},    // 1.35 of 1.6
+      {11, 30, false, false},  // not one whole retry may be saved
+  };
+  for (const Case& c : cases) {
+    budget::Budget b({0.2, c.slack, 0.75});
+    b.SetNodes(10);
+    for (int i = 0; i < c.earned; ++i) b.Earn(0);
+    budget::Budget same = b;
+    EXPECT_EQ(b.SpendIfCalm(0), c.calm) << c.slack << " " << c.earned;
+    EXPECT_EQ(same.Spend(0), c.spend) << c.slack << " " << c.earned;
+  }
+}
+
 TEST(Budget, AllNodesTogetherStayWithinTheBound) {
   // Many nodes, uneven load, nodes that restart and forget, and every further send that is allowed
   // is made: the sum over any window stays within ratio x requests + slack.
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -278,7 +278,7 @@
 
  private:
   using Body = std::variant<consensus::Message, consensus::Member, ring::Heartbeat, ring::Table,
-                            ring::Summary, news::Digest, news::Pull, news::ConfigNews,
+                            ring::Sums, ring::Summary, news::Digest, news::Pull, news::ConfigNews,
                             news::CatalogNews, news::EvacuationNews, duty::Resignation>;
   struct Packet {
     Millis at;
@@ -366,6 +366,7 @@
     Node& n = *nodes_[i];
     if (auto* m = std::get_if<ring::Heartbeat>(&body)) n.members->OnHeartbeat(now, from, *m);
     if (auto* m = std::get_if<ring::Table>(&body)) n.members->OnTable(now, from, *m);
+    if (auto* m = std::get_if<ring::Sums>(&body)) n.members->OnSums(now, from, *m);
     if (auto* m = std::get_if<ring::Summary>(&body)) n.members->OnSummary(now, from, *m);
     if (auto* m = std::get_if<news::EvacuationNews>(&body)) n.news->OnEvacuation(now, from, *m);
     if (auto* m = std::get_if<news::Digest>(&body)) n.news->OnDigest(now, from, *m);
@@ -447,6 +448,7 @@
     }
     for (auto& [to, m] : ring.heartbeats) Send(i, to, m);
     for (auto& [to, m] : ring.tables) Send(i, to, m);
+    for (auto& [to, m] : ring.sums) Send(i, to, m);
     for (auto& [to, m] : ring.summaries) Send(i, to, m);
     if (n.controller) PumpMachine(i);
     auto news = n.news->Take();
