Questions to 300 nodes: 32 at once, outcome and zone of each record; one server on two pages

status, failures and diagnose asked every node at the same moment. Now 32 at once, the reachable ones first, 300 ms for each, one deadline; who was not asked is named apart from who did not answer. A record says the zone and whether the request may have run. A list that changed while its pages were read: the later word counts, draining on any page is draining, the same id with another address or service drops the reading. Before, which of the two entries stayed was left to the sort.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -128,7 +128,13 @@
     return page.error();
   }
   servers_.insert(servers_.end(), page->servers.begin(), page->servers.end());
-  if (page->next.empty()) return std::string();
+  if (page->next.empty()) {
+    if (std::string fault = Merge(); !fault.empty()) {
+      active_ = false;
+      return base::Error{"catalog", "platform", fault};
+    }
+    return std::string();
+  }
   if (++pages_ > kMaxPages) {
     active_ = false;
     return base::Error{"catalog", "platform", "pages without end"};
@@ -141,13 +147,30 @@
   for (Server& server : servers_) {
     server.warm_at = server.warmup_left_ms > 0 ? now + server.warmup_left_ms : 0;
   }
-  std::sort(servers_.begin(), servers_.end(),
-            [](const Server& a, const Server& b) { return a.id < b.id; });
-  // A server may move to a later page while the list is read; the last word counts.
-  servers_.erase(std::unique(servers_.begin(), servers_.end(),
-                             [](const Server& a, const Server& b) { return a.id == b.id; }),
-                 servers_.end());
   return std::move(servers_);
 }
 
+// A list may change while it is read, and a server then stand on two pages. The later word counts,
+// but one that is draining anywhere is draining: it does not come back from that. The same id with
+// another service or address is no list.
+std::string Reading::Merge() {
+  std::stable_sort(servers_.begin(), servers_.end(),
+                   [](const Server& a, const Server& b) { return a.id < b.id; });
+  std::vector<Server> merged;
+  for (Server& server : servers_) {
+    if (merged.empty() || merged.back().id != server.id) {
+      merged.push_back(std::move(server));
+      continue;
+    }
+    Server& before = merged.back();
+    if (before.service != server.service || before.address != server.address) {
+      return "pages contradict each other on " + server.id;
+    }
+    server.draining |= before.draining;
+    before = std::move(server);
+  }
+  servers_ = std::move(merged);
+  return "";
+}
+
 }  // namespace elderkeel::catalog
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -75,6 +75,9 @@
   void Abort() { active_ = false; }
 
  private:
+  // Sorts by id and makes one of entries of the same server; says what is wrong, if anything is.
+  std::string Merge();
+
   bool active_ = false;
   int pages_ = 0;
   std::vector<Server> servers_;
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -547,22 +547,32 @@
     return;
   }
   diagnosis::Query ask{next_token_++, question.about, question.value, question.last_s};
-  std::vector<std::string> asked;
-  for (const auto& [id, node] : fleet_->members().nodes()) {
-    // The dead are asked too: a suspicion may be wrong, and if they are silent the answer says so.
-    if (node.program != ring::Program::kProxy || node.state == ring::State::kLeft) continue;
-    if (!question.zone.empty() && node.zone != question.zone) continue;
-    asked.push_back(node.address().ToString());
-    fleet_->mesh().Send(node.address(), wire::Kind::kQuery, ask);
+  std::vector<diagnosis::Target> targets;
+  // The dead are asked too, after the others: a suspicion may be wrong, and if they are silent the
+  // answer says so.
+  for (bool reachable : {true, false}) {
+    for (const auto& [id, node] : fleet_->members().nodes()) {
+      if (node.program != ring::Program::kProxy || node.state == ring::State::kLeft) continue;
+      if (!question.zone.empty() && node.zone != question.zone) continue;
+      if (node.reachable() == reachable) {
+        targets.push_back({node.address().ToString(), node.zone});
+      }
+    }
   }
-  inquiries_.push_back({ticket, diagnosis::Inquiry(ask.nonce, question, std::move(asked),
-                                                   base::SteadyMillis() + kInquiryMs)});
+  inquiries_.push_back({ticket, ask,
+                        diagnosis::Inquiry(ask.nonce, question, std::move(targets),
+                                           base::SteadyMillis() + kInquiryMs)});
   FinishInquiries(base::SteadyMillis());
 }
 
 void Controller::FinishInquiries(base::Millis now) {
   for (size_t i = 0; i < inquiries_.size();) {
     if (!inquiries_[i].inquiry.Done(now)) {
+      for (const std::string& address : inquiries_[i].inquiry.Next(now)) {
+        if (auto to = base::ParseAddress(address)) {
+          fleet_->mesh().Send(*to, wire::Kind::kQuery, inquiries_[i].ask);
+        }
+      }
       ++i;
       continue;
     }
--- a/src/diagnosis/console.cc
+++ b/src/diagnosis/console.cc
@@ -141,16 +141,21 @@
     *degraded = true;
     out += "unknown     " + Text(d, "missing") + " failures whose records are no longer kept\n";
   }
-  if (d.HasMember("silent") && d["silent"].IsArray() && !d["silent"].Empty()) {
+  auto unknown = [&](const char* key, const char* why) {
+    if (!d.HasMember(key) || !d[key].IsArray() || d[key].Empty()) return;
     *degraded = true;
-    out += "unknown     what these nodes recorded, since they did not answer:";
-    for (const auto& s : d["silent"].GetArray()) out += std::string(" ") + s.GetString();
+    out += std::string("unknown     what these nodes recorded, since they ") + why + ":";
+    for (const auto& s : d[key].GetArray()) out += std::string(" ") + s.GetString();
     out += "\n";
-  }
+  };
+  unknown("silent", "did not answer");
+  unknown("not-asked", "were not asked in time");
   if (Text(d, "cut") == "yes")
     out += "unknown     older records: there were more than an answer holds\n";
   for (const auto& r : d["records"].GetArray()) {
-    out += Text(r, "time") + "  " + Text(r, "node") + "  " + Text(r, "record") + "\n";
+    std::string outcome = Text(r, "outcome", "");
+    out += Text(r, "time") + "  " + Text(r, "zone", "") + "  " + Text(r, "node") + "  " +
+           (outcome.empty() ? "" : "[" + outcome + "]  ") + Text(r, "record") + "\n";
   }
   return out;
 }
--- a/src/diagnosis/diagnosis.cc
+++ b/src/diagnosis/diagnosis.cc
@@ -15,10 +15,13 @@
 namespace {
 
 constexpr size_t kMaxLines = 400;
+constexpr size_t kAtOnce = 32;             // nodes that are asked and have not answered
+constexpr base::Millis kPatienceMs = 300;  // then one that is silent gives its place to the next
 
 struct Found {
   int64_t wall_us;
   std::string node;
+  std::string zone;
   std::string line;
 };
 
@@ -224,7 +227,33 @@
   return reply;
 }
 
+std::string OutcomeOf(std::string_view line) {
+  std::string status = ValueOf(line, "status");
+  if (status.empty()) return "";
+  if (ValueOf(line, "sends") == "0" || status == "503" || status == "429" || status == "408" ||
+      status == "421") {
+    return "not run";
+  }
+  // 502 and 504 are ours; anything else is a server's own answer.
+  return status == "0" || status == "502" || status == "504" ? "may have run" : "answered";
+}
+
+std::vector<std::string> Inquiry::Next(base::Millis now) {
+  size_t open = 0;
+  for (size_t i = 0; i < asked_at_.size(); ++i) {
+    open += replies_.count(targets_[i].address) == 0 && now - asked_at_[i] < kPatienceMs;
+  }
+  std::vector<std::string> next;
+  for (; asked_at_.size() < targets_.size() && open < kAtOnce; ++open) {
+    next.push_back(targets_[asked_at_.size()].address);
+    asked_at_.push_back(now);
+  }
+  return next;
+}
+
 std::string Inquiry::Report() const {
+  std::map<std::string, std::string> zones;
+  for (const Target& target : targets_) zones[target.address] = target.zone;
   std::vector<Found> found;
   bool cut = false;
   uint64_t missing = 0;
@@ -233,7 +262,9 @@
     missing += reply.missing;
     for (const std::string& line : reply.lines) {
       int64_t at = std::atoll(ValueOf(line, "at_us").c_str());
-      found.push_back({reply.wall_us + at, reply.node, line});
+      auto zone = zones.find(from);
+      found.push_back(
+          {reply.wall_us + at, reply.node, zone == zones.end() ? "" : zone->second, line});
     }
   }
   std::sort(found.begin(), found.end(),
@@ -244,13 +275,17 @@
   w.Key("conclusion");
   w.String(Conclude(question_, found).c_str());
   w.Key("asked");
-  w.Uint64(asked_.size());
-  w.Key("silent");
-  w.StartArray();
-  for (const std::string& address : asked_) {
-    if (!replies_.count(address)) w.String(address.c_str());
-  }
-  w.EndArray();
+  w.Uint64(asked_at_.size());
+  auto list = [&](const char* key, size_t first, size_t last) {
+    w.Key(key);
+    w.StartArray();
+    for (size_t i = first; i < last; ++i) {
+      if (!replies_.count(targets_[i].address)) w.String(targets_[i].address.c_str());
+    }
+    w.EndArray();
+  };
+  list("silent", 0, asked_at_.size());
+  list("not-asked", asked_at_.size(), targets_.size());
   w.Key("cut");
   w.Bool(cut);
   if (question_.about == Question::About::kFailures) {
@@ -265,6 +300,12 @@
     w.String(TimeOfDay(f.wall_us).c_str());
     w.Key("node");
     w.String(f.node.c_str());
+    w.Key("zone");
+    w.String(f.zone.c_str());
+    if (std::string outcome = OutcomeOf(f.line); !outcome.empty()) {
+      w.Key("outcome");
+      w.String(outcome.c_str());
+    }
     w.Key("record");
     w.String(f.line.c_str());
     w.EndObject();
--- a/src/diagnosis/diagnosis.h
+++ b/src/diagnosis/diagnosis.h
@@ -66,19 +66,34 @@
 // The value of `key` in a line of key=value pairs; empty if it is not there.
 std::string ValueOf(std::string_view line, std::string_view key);
 
-// One question under way: whom it was asked, and who has answered. Pure.
+// A node that a question is for.
+struct Target {
+  std::string address;
+  std::string zone;
+};
+
+// What may have become of the request that a record is about: "not run", "may have run" or
+// "answered". Whoever was left waiting must be told which.
+std::string OutcomeOf(std::string_view line);
+
+// One question under way: whom it is for, who was asked, and who has answered. Only so many nodes
+// are asked at once, in the order given, and one deadline ends the whole. Pure.
 class Inquiry {
  public:
-  Inquiry(uint64_t nonce, Question question, std::vector<std::string> asked, base::Millis deadline)
+  Inquiry(uint64_t nonce, Question question, std::vector<Target> targets, base::Millis deadline)
       : nonce_(nonce),
         question_(std::move(question)),
-        asked_(std::move(asked)),
+        targets_(std::move(targets)),
         deadline_(deadline) {}
 
+  // Whom to ask now.
+  std::vector<std::string> Next(base::Millis now);
   void Take(const std::string& from, Reply reply) {
     if (reply.nonce == nonce_) replies_[from] = std::move(reply);
   }
-  bool Done(base::Millis now) const { return now >= deadline_ || replies_.size() >= asked_.size(); }
+  bool Done(base::Millis now) const {
+    return now >= deadline_ || replies_.size() >= targets_.size();
+  }
   uint64_t nonce() const { return nonce_; }
   Question::About about() const { return question_.about; }
   // What the node at `address` answered; null if it did not.
@@ -86,13 +101,15 @@
     auto at = replies_.find(address);
     return at == replies_.end() ? nullptr : &at->second;
   }
-  // JSON: the records in order of time, a line of conclusion, and who did not answer.
+  // JSON: the records in order of time, a line of conclusion, who did not answer, and who was not
+  // asked before the time was over.
   std::string Report() const;
 
  private:
   uint64_t nonce_;
   Question question_;
-  std::vector<std::string> asked_;  // addresses
+  std::vector<Target> targets_;
+  std::vector<base::Millis> asked_at_;  // of the first of them: those that were asked
   base::Millis deadline_;
   std::map<std::string, Reply> replies_;
 };
--- a/tests/diagnosis_test.cc
+++ b/tests/diagnosis_test.cc
@@ -40,7 +40,9 @@
 }
 
 TEST(Diagnosis, ReportsInOrderOfTimeAndNamesTheSilent) {
-  Inquiry inquiry(5, *Question::Parse("server=i-1"), {"10.0.0.1:7", "10.0.0.2:7"}, 1000);
+  Inquiry inquiry(5, *Question::Parse("server=i-1"), {{"10.0.0.1:7", "a"}, {"10.0.0.2:7", "b"}},
+                  1000);
+  EXPECT_EQ(inquiry.Next(0).size(), 2u);
   Reply reply = Select(*Question::Parse("server=i-1"), kLines);
   reply.nonce = 4;
   inquiry.Take("10.0.0.1:7", reply);  // to another question
@@ -82,7 +84,8 @@
     EXPECT_EQ(SelectFailures(*question, text, 10000000).lines.size(), static_cast<size_t>(c.lines))
         << c.query;
   }
-  Inquiry inquiry(1, *Question::ParseFailures(""), {"10.0.0.1:7"}, 1000);
+  Inquiry inquiry(1, *Question::ParseFailures(""), {{"10.0.0.1:7", "a"}}, 1000);
+  inquiry.Next(0);
   Reply reply = SelectFailures(*Question::ParseFailures(""), text, 10000000);
   reply.nonce = 1;
   reply.missing = 7;
@@ -92,6 +95,56 @@
   EXPECT_TRUE(degraded);
   EXPECT_NE(shown.find("2 requests failed on 1 nodes: r1 1 r2 1"), std::string::npos) << shown;
   EXPECT_NE(shown.find("7 failures whose records"), std::string::npos) << shown;
+  EXPECT_NE(shown.find("a    [not run]"), std::string::npos) << shown;
+  EXPECT_NE(shown.find("[may have run]"), std::string::npos) << shown;
+}
+
+TEST(Diagnosis, SaysWhatMayHaveBecomeOfARequest) {
+  struct Case {
+    const char* line;
+    const char* outcome;
+  } cases[] = {{"status=503 sends=2", "not run"},      {"status=502 sends=0", "not run"},
+               {"status=502 sends=1", "may have run"}, {"status=504 sends=1", "may have run"},
+               {"status=0 sends=1", "may have run"},   {"status=0 sends=0", "not run"},
+               {"status=500 sends=1", "answered"},     {"event=version.adopted", ""}};
+  for (const Case& c : cases) EXPECT_EQ(OutcomeOf(c.line), c.outcome) << c.line;
+}
+
+// Three hundred nodes, a third of them silent: never more than so many are asked at once, the
+// living all answer in time, and whoever was not reached is named.
+TEST(Diagnosis, AsksOnlySoManyAtOnce) {
+  std::vector<Target> targets;
+  for (int i = 0; i < 400; ++i) targets.push_back({"n" + std::to_string(i), "z"});
+  Inquiry inquiry(1, *Question::ParseFailures(""), targets, 1500);
+  size_t answered = 0;
+  std::map<std::string, base::Millis> open;
+  base::Millis now = 0;
+  for (; !inquiry.Done(now); now += 50) {
+    for (const std::string& address : inquiry.Next(now)) open[address] = now;
+    size_t waiting = 0;
+    for (auto at = open.begin(); at != open.end();) {
+      bool living = std::stoi(at->first.substr(1)) < 200;
+      waiting += now - at->second < 300;
+      if (living && now > at->second) {
+        Reply reply;
+        reply.nonce = 1;
+        inquiry.Take(at->first, reply);
+        ++answered;
+        at = open.erase(at);
+      } else {
+        ++at;
+      }
+    }
+    EXPECT_LE(waiting, 32u) << now;
+  }
+  EXPECT_EQ(now, 1500);
+  EXPECT_EQ(answered, 200u);
+  bool degraded = false;
+  std::string text = DiagnosisText(inquiry.Report(), &degraded);
+  EXPECT_TRUE(degraded);
+  EXPECT_NE(text.find("did not answer: n200"), std::string::npos);
+  EXPECT_NE(text.find("were not asked in time: "), std::string::npos);
+  EXPECT_NE(text.find(" n399\n"), std::string::npos);
 }
 
 TEST(Diagnosis, StatusSaysWhatItDoesNotKnow) {
