--- a/tests/ring_test.cc
+++ b/tests/ring_test.cc
@@ -90,6 +90,20 @@
   }
 }
 
+// A cut does not tell from a death: what all share goes by those that may exist.
+TEST(Ring, CountsThoseThatMayExist) {
+  Membership m(OptionsOf(Member(0, 2), 1), {}, 0);
+  Table table;
+  State states[] = {State::kAlive, State::kSuspect, State::kDead, State::kDead, State::kLeft};
+  for (size_t i = 0; i < 5; ++i) {
+    table.nodes.push_back(Member(1 + i, 2));
+    table.nodes.back().state = states[i];
+  }
+  m.OnTable(0, base::Address(), table);
+  EXPECT_EQ(m.CountAlive(Program::kProxy), 3u);
+  EXPECT_EQ(m.CountPossible(Program::kProxy), 5u);
+}
+
 // Two tables of three hundred nodes that differ in a few records become one for about those records
 // alone.
 TEST(Ring, TablesThatDifferLittleAreBroughtTogetherForLittle) {
