--- a/tests/demand_test.cc
+++ b/tests/demand_test.cc
@@ -126,6 +126,24 @@
   EXPECT_LT(nodes[0].demand->Of(now + 6000, Key(name(1)), service, kProxies), 0);
 }
 
+// What a proxy that died had told stays in the means of its peers; it must wear off.
+TEST(Demand, ForgetsWhatAProxyThatDiedHadTold) {
+  Demand busy("here"), idle("here");
+  uint32_t service = Key("orders");
+  base::Millis now = 1000;
+  for (int i = 0; i < 10; ++i) busy.Begin(now, service);
+  for (int i = 0; i < 60; ++i, now += 400) {
+    busy.Tick(now);
+    idle.Tick(now);
+    Report there = busy.Tell(now, 2), back = idle.Tell(now, 2);
+    idle.Hear(now, there);
+    busy.Hear(now, back);
+  }
+  EXPECT_NEAR(idle.Of(now, Key("here"), service, 2), 10, 1.5);
+  for (int i = 0; i < 60; ++i, now += 400) idle.Tick(now);
+  EXPECT_LT(idle.Of(now, Key("here"), service, 1), 0.1);
+}
+
 TEST(Demand, TakesNothingAbsurdFromAPeer) {
   Demand demand("here");
   Report report{{Key("there"), 0, 10, {{1, -5.0f}}}, {Key("here"), 0, 10, {{1, -5.0f}}}};
