One piece for what stood twice: anchors, neighbours, gaps between messages, ends of sends

A server's warm-up is anchored in one place, the others of a zone that have not left are found in one, the gap between two summaries or sums is one check, and what follows the end of a send stands once for answers and for sends given up. A question is derived from its inquiry, the number of the zone's proxies from the servers' order. A list too large to be sent unasked is no longer copied before that is found out. The option region_ms, which nothing set, is gone.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -144,9 +144,7 @@
 
 std::vector<Server> Reading::Finish(base::Millis now) {
   active_ = false;
-  for (Server& server : servers_) {
-    server.warm_at = server.warmup_left_ms > 0 ? now + server.warmup_left_ms : 0;
-  }
+  for (Server& server : servers_) server.Anchor(now);
   return std::move(servers_);
 }
 
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -24,6 +24,8 @@
   int32_t warmup_left_ms = 0;  // when this was read or sent
   base::Millis warm_at = 0;    // the same on this process's own clock; not sent
 
+  // Fixes on this process's clock how long it stays cold, as told just now.
+  void Anchor(base::Millis now) { warm_at = warmup_left_ms > 0 ? now + warmup_left_ms : 0; }
   // The same, and not colder than was known: a warm-up that only goes on is no change.
   bool Same(const Server& o) const {
     return id == o.id && service == o.service && address == o.address && zone == o.zone &&
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -546,7 +546,6 @@
     control_->Answer(ticket, wire::OwnAnswer(503, "too many questions at once"));
     return;
   }
-  diagnosis::Query ask{next_token_++, question.about, question.value, question.last_s};
   std::vector<diagnosis::Target> targets;
   // The dead are asked too, after the others: a suspicion may be wrong, and if they are silent the
   // answer says so.
@@ -559,9 +558,8 @@
       }
     }
   }
-  inquiries_.push_back({ticket, ask,
-                        diagnosis::Inquiry(ask.nonce, question, std::move(targets),
-                                           base::SteadyMillis() + kInquiryMs)});
+  inquiries_.push_back({ticket, diagnosis::Inquiry(next_token_++, question, std::move(targets),
+                                                   base::SteadyMillis() + kInquiryMs)});
   FinishInquiries(base::SteadyMillis());
 }
 
@@ -570,7 +568,7 @@
     if (!inquiries_[i].inquiry.Done(now)) {
       for (const std::string& address : inquiries_[i].inquiry.Next(now)) {
         if (auto to = base::ParseAddress(address)) {
-          fleet_->mesh().Send(*to, wire::Kind::kQuery, inquiries_[i].ask);
+          fleet_->mesh().Send(*to, wire::Kind::kQuery, inquiries_[i].inquiry.query());
         }
       }
       ++i;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -103,7 +103,6 @@
   uint64_t next_token_ = 1;
   struct Asking {
     wire::HttpServer::Ticket ticket;
-    diagnosis::Query ask;
     diagnosis::Inquiry inquiry;
   };
   std::vector<Asking> inquiries_;
--- a/src/demand/demand.cc
+++ b/src/demand/demand.cc
@@ -52,20 +52,18 @@
 
 Report Demand::Tell(base::Millis now, size_t proxies) const {
   Report report;
-  if (known_) {
-    ZoneDemand own{zone_, 0, static_cast<uint16_t>(std::min<size_t>(proxies, UINT16_MAX)), {}};
-    for (const auto& [service, mean] : own_) {
-      own.means.push_back({service, static_cast<float>(mean)});
+  auto tell = [&](uint32_t zone, base::Millis age, size_t of, const auto& means) {
+    report.push_back({zone,
+                      static_cast<uint32_t>(age),
+                      static_cast<uint16_t>(std::min<size_t>(of, UINT16_MAX)),
+                      {}});
+    for (const auto& [service, mean] : means) {
+      report.back().means.push_back({service, static_cast<float>(mean)});
     }
-    report.push_back(std::move(own));
-  }
+  };
+  if (known_) tell(zone_, 0, proxies, own_);
   for (const auto& [key, zone] : others_) {
-    if (now - zone.at > kForgetMs) continue;
-    ZoneDemand told{key, static_cast<uint32_t>(now - zone.at), zone.proxies, {}};
-    for (const auto& [service, mean] : zone.means) {
-      told.means.push_back({service, static_cast<float>(mean)});
-    }
-    report.push_back(std::move(told));
+    if (now - zone.at <= kForgetMs) tell(key, now - zone.at, zone.proxies, zone.means);
   }
   return report;
 }
--- a/src/diagnosis/diagnosis.h
+++ b/src/diagnosis/diagnosis.h
@@ -94,7 +94,8 @@
   bool Done(base::Millis now) const {
     return now >= deadline_ || replies_.size() >= targets_.size();
   }
-  uint64_t nonce() const { return nonce_; }
+  // What each of them is asked.
+  Query query() const { return {nonce_, question_.about, question_.value, question_.last_s}; }
   Question::About about() const { return question_.about; }
   // What the node at `address` answered; null if it did not.
   const Reply* Of(const std::string& address) const {
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -156,6 +156,13 @@
   for (auto& connection : idle) Discard(server, std::move(connection));
 }
 
+void Front::Ended(base::Millis now, uint32_t server) {
+  demand_.End(now, DemandKey(servers_.at(server).service));
+  // Other connections to one that is held out are no better, and those that hang would tell so only
+  // by their silence.
+  if (servers_.at(server).held_until > 0) DropIdle(server);
+}
+
 void Front::Adopt(const evacuation::Orders& orders) {
   base::Millis doubt = settings_.PollMs() + settings_.platform_lag_ms + kSpreadMs;
   servers_.SetEvacuated(base::SteadyMillis(), orders.zones(), doubt);
@@ -174,7 +181,7 @@
   return route && route->idempotent;
 }
 
-demand::Report Front::TellDemand() { return demand_.Tell(base::SteadyMillis(), zone_proxies_); }
+demand::Report Front::TellDemand() { return demand_.Tell(base::SteadyMillis(), servers_.places()); }
 
 void Front::HearDemand(const demand::Report& report) { demand_.Hear(base::SteadyMillis(), report); }
 
@@ -187,7 +194,7 @@
     std::vector<demand::Place> places;
     for (const auto& [zone, slots] : zones) {
       places.push_back({slots, demand_.Of(now, demand::Key(servers_.ZoneName(zone)),
-                                          DemandKey(service), zone_proxies_)});
+                                          DemandKey(service), servers_.places())});
     }
     std::vector<Servers::Share> shares;
     if (!places.empty()) {
@@ -525,9 +532,7 @@
     GiveBack(send.server, std::move(send.connection));
   }
   servers_.End(now, send.server, send.begun, signal, latency, mean);
-  demand_.End(now, DemandKey(servers_.at(send.server).service));
-  // Other connections to it are no better, and those that hang would tell so only by their silence.
-  if (servers_.at(send.server).held_until > 0) DropIdle(send.server);
+  Ended(now, send.server);
   x->ledger.End(send.entry, fate);
   uint32_t service = servers_.at(send.server).service;
 
@@ -632,9 +637,8 @@
       continue;
     }
     servers_.Abandon(now, send.server, send.begun, MeanOf(x->route_index));
-    demand_.End(now, DemandKey(servers_.at(send.server).service));
     Discard(send.server, std::move(send.connection));
-    if (servers_.at(send.server).held_until > 0) DropIdle(send.server);
+    Ended(now, send.server);
   }
 }
 
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -35,10 +35,7 @@
   // budgets.
   void SetProxies(size_t proxies, size_t possible);
   // Which one of its zone's proxies this is.
-  void SetPlace(size_t place, size_t places) {
-    zone_proxies_ = std::max<size_t>(1, places);
-    servers_.SetPlace(place, places);
-  }
+  void SetPlace(size_t place, size_t places) { servers_.SetPlace(place, places); }
   // This one's id and those of its zone's proxies.
   void SetPeers(uint64_t self, std::vector<uint64_t> peers) {
     servers_.SetPeers(self, std::move(peers));
@@ -143,6 +140,8 @@
   bool MayOvertake(const wire::Message& request) const;
   uint32_t ChooseFor(base::Millis now, const Exchange& x);
   void DropIdle(uint32_t server);
+  // One send less is in flight there, and the choice has learnt how it ended.
+  void Ended(base::Millis now, uint32_t server);
   void ShareOut(base::Millis now);
   uint32_t DemandKey(uint32_t service);
 
@@ -155,7 +154,6 @@
   demand::Demand demand_;
   std::vector<uint32_t> demand_keys_;  // of the services, by index
   base::Millis share_at_ = 0;
-  size_t zone_proxies_ = 1;
   budget::Budget budget_;
   wire::HttpServer server_;
   std::vector<Pool> pools_;
--- a/src/forwarding/servers.cc
+++ b/src/forwarding/servers.cc
@@ -233,9 +233,7 @@
       }
       double score = pace * (1 + static_cast<double>(s.in_flight) / s.capacity);
       if (s.zone != zone) score += options_.far_penalty;
-      if (s.far) {
-        score += options_.region_penalty + static_cast<double>(options_.region_ms) / mean_ms;
-      }
+      if (s.far) score += options_.region_penalty;
       score += options_.turn_penalty * s.turn;
       score += random_.Unit() * kChance;
       if (best == kNone || score < best_score) {
--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -66,7 +66,6 @@
     std::map<std::string, std::string> regions;  // of zones
     double far_penalty = 0.6;     // a server elsewhere must be better by so much of a mean latency
     double region_penalty = 1.5;  // the same, on top, for one in another region
-    base::Millis region_ms = 0;   // what the way to another region and back may take
     double turn_penalty = 0.3;    // for the last server in this node's own order
     base::Millis hold_first = 400;
     base::Millis hold_most = 6000;
@@ -84,6 +83,7 @@
   // This node is number `place` of `places` proxies of its zone. Proxies don't see each other's
   // sends; each begins its order of the servers at another one, so that their first choices differ.
   void SetPlace(size_t place, size_t places);
+  size_t places() const { return places_; }
 
   // The ids of this zone's proxies, this one's included, and its own: who may send to a cold server
   // follows from them.
--- a/src/news/exchange.cc
+++ b/src/news/exchange.cc
@@ -54,6 +54,17 @@
   if (now - heard_at_ > options_.digest_every * kUnheard) AskSurely(now);
 }
 
+std::vector<const ring::Node*> Exchange::Neighbours() const {
+  std::vector<const ring::Node*> neighbours;
+  const ring::Node& self = members_->self();
+  for (const auto& [id, node] : members_->nodes()) {
+    if (node.zone == self.zone && id != self.id && node.state != ring::State::kLeft) {
+      neighbours.push_back(&node);
+    }
+  }
+  return neighbours;
+}
+
 // A machine whose link is full loses datagrams, its heartbeats too: the others hold it for lost,
 // and no news comes any more, though it serves on. A connection gets through where datagrams don't.
 void Exchange::AskSurely(base::Millis now) {
@@ -62,11 +73,7 @@
   digest.answer = digest.sure = true;
   // A controller near by, or any node of the zone; also one that is held for lost from here.
   std::vector<const ring::Node*> core, near;
-  for (const auto& [id, node] : members_->nodes()) {
-    if (node.zone != members_->self().zone || id == members_->self().id) continue;
-    if (node.state == ring::State::kLeft) continue;
-    (node.durable ? core : near).push_back(&node);
-  }
+  for (const ring::Node* node : Neighbours()) (node->durable ? core : near).push_back(node);
   const auto& from = core.empty() ? near : core;
   if (!from.empty()) out_.digests.push_back({from[random_.Below(from.size())]->address(), digest});
 }
@@ -166,6 +173,8 @@
         news.gone.push_back(id);
       }
     }
+  } else if (!asked && catalog_.servers.size() > kSmallServers) {
+    return false;  // before the whole list is copied
   } else {
     news.servers = catalog_.servers;
   }
@@ -274,12 +283,8 @@
     Pass(now, Topic::kConfiguration, nullptr);
     return;
   }
-  // Those held for lost are told too: they may only be hard to hear.
-  for (const auto& [id, node] : members_->nodes()) {
-    if (node.zone == members_->self().zone && node.program == ring::Program::kProxy &&
-        node.state != ring::State::kLeft) {
-      SendConfig(now, node.address(), patch_base_, true);
-    }
+  for (const ring::Node* node : Neighbours()) {
+    if (node->program == ring::Program::kProxy) SendConfig(now, node->address(), patch_base_, true);
   }
 }
 
@@ -287,11 +292,8 @@
   if (orders.version() <= orders_.version()) return;
   orders_ = orders;
   out_.evacuation_adopted = true;
-  for (const auto& [id, node] : members_->nodes()) {
-    if (node.zone == members_->self().zone && id != members_->self().id &&
-        node.state != ring::State::kLeft) {
-      out_.evacuations.push_back({node.address(), {orders_}});
-    }
+  for (const ring::Node* node : Neighbours()) {
+    out_.evacuations.push_back({node->address(), {orders_}});
   }
 }
 
@@ -363,7 +365,7 @@
                news.sequence == catalog_.sequence;
   if (!newer && !truer && has_catalog()) return;
   auto anchored = [now](catalog::Server server) {
-    server.warm_at = server.warmup_left_ms > 0 ? now + server.warmup_left_ms : 0;
+    server.Anchor(now);
     return server;
   };
   if (news.whole) {
--- a/src/news/exchange.h
+++ b/src/news/exchange.h
@@ -171,6 +171,8 @@
   // `from`: who told this node; none if the news starts here.
   void Pass(base::Millis now, Topic topic, const base::Address* from);
   bool Elsewhere(const base::Address& from) const;
+  // Others of the zone; those held for lost too: they may only be hard to hear.
+  std::vector<const ring::Node*> Neighbours() const;
   void AskSurely(base::Millis now);
 
   Options options_;
--- a/src/ring/membership.cc
+++ b/src/ring/membership.cc
@@ -322,11 +322,11 @@
   seed_at_ = now + (alone ? kSeedGap : soon ? kSeedSoon : kSeedCalm);
   // One after the other: each answers with all that it knows, which in a large fleet is a lot.
   size_t turn = next_seed_++;
-  if (alone) {
-    out_.tables.push_back({seeds_[turn % seeds_.size()], Table{{self_}, {}}});
-  } else if (!unknown.empty()) {
+  bool no_controller =
+      CountAlive(Program::kController) == (self_.program == Program::kController ? 1 : 0);
+  if (!alone && !unknown.empty()) {
     out_.tables.push_back({*unknown[turn % unknown.size()], Table{{self_}, {}}});
-  } else if (CountAlive(Program::kController) == (self_.program == Program::kController ? 1 : 0)) {
+  } else if (alone || no_controller) {
     out_.tables.push_back({seeds_[turn % seeds_.size()], Table{{self_}, {}}});
   }
 }
@@ -368,10 +368,16 @@
   if (beat.members != Digest()) SendSums(now, from);
 }
 
-void Membership::SendSums(base::Millis now, const base::Address& to) {
-  base::Millis& sent = sums_sent_[to];
-  if (sent != 0 && now - sent < kSummaryGap) return;
+bool Membership::Lately(base::Millis now, const base::Address& to,
+                        std::map<base::Address, base::Millis>* sent_at) {
+  base::Millis& sent = (*sent_at)[to];
+  if (sent != 0 && now - sent < kSummaryGap) return true;
   sent = now;
+  return false;
+}
+
+void Membership::SendSums(base::Millis now, const base::Address& to) {
+  if (Lately(now, to, &sums_sent_)) return;
   out_.sums.push_back({to, sums_});
 }
 
@@ -385,9 +391,7 @@
 }
 
 void Membership::SendSummary(base::Millis now, const base::Address& to, uint32_t parts) {
-  base::Millis& sent = summary_sent_[to];
-  if (sent != 0 && now - sent < kSummaryGap) return;
-  sent = now;
+  if (Lately(now, to, &summary_sent_)) return;
   Summary summary;
   summary.parts = parts;
   for (const auto& [id, node] : nodes_) {
--- a/src/ring/membership.h
+++ b/src/ring/membership.h
@@ -178,6 +178,9 @@
   void Beat(base::Millis now);
   void ReviewWatched(base::Millis now);
   void SeekSeeds(base::Millis now);
+  // Whether one was sent there a moment ago; if not, it is taken to be sent now.
+  static bool Lately(base::Millis now, const base::Address& to,
+                     std::map<base::Address, base::Millis>* sent_at);
   void SendSums(base::Millis now, const base::Address& to);
   // Of the parts whose bits are set.
   void SendSummary(base::Millis now, const base::Address& to, uint32_t parts);
