--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -62,6 +62,7 @@
       TEXT("region", region, false),
       TEXT("entry", entry, false),
       TEXT("rollout", rollout, false),
+      TEXT("contracts", contracts, false),
       TEXT("data-dir", data_dir, false),
       ADDRESS("listeners.front", front),
       ADDRESS("listeners.readiness", readiness),
@@ -85,6 +86,9 @@
       NUMBER("bounds.warmup-excess", warmup_excess, 0, 100),
       NUMBER("bounds.warmup-slack", warmup_slack, 0, 1e6),
       NUMBER("bounds.ttl_max_s", ttl_max_s, 0, 3600),
+      NUMBER("bounds.canary-share", canary_share, 0, 1),
+      WHOLE("bounds.canary-slack", canary_slack, 0, 1000000),
+      WHOLE("bounds.rollback-ms", rollback_ms, 1, 600000),
       WHOLE("tolerance.machines", tolerance_machines, 0, 1000),
       WHOLE("tolerance.zones", tolerance_zones, 0, 1000),
       WHOLE("tolerance.region-list", tolerance_regions, 0, 1000),
@@ -217,6 +221,11 @@
 
 }  // namespace
 
+bool Settings::VersionsByOrder() const {
+  std::vector<std::string> parts = Split(contracts, ',');
+  return std::find(parts.begin(), parts.end(), "rollout") != parts.end();
+}
+
 Result<Address> ParseAddress(const std::string& text) {
   size_t colon = text.rfind(':');
   if (colon == std::string::npos) return Error{"address", text, "has no port"};
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -36,8 +36,9 @@
   std::string ip;
   std::string zone;
   std::string region;
-  std::string entry;    // how clients find this fleet: `directory`, or by the platform's choice
-  std::string rollout;  // the kind of deployment; empty for the first kind, a gateway
+  std::string entry;      // how clients find this fleet: `directory`, or by the platform's choice
+  std::string rollout;    // the kind of deployment; empty for the first kind, a gateway
+  std::string contracts;  // the parts of the platform's rules that are in force, joined by commas
   std::string data_dir;
   std::map<std::string, std::string> zones;  // each zone's region
   std::vector<Address> seeds;
@@ -63,6 +64,9 @@
   double warmup_excess = 1.5;  // a cold server may get so many times its stated rate
   double warmup_slack = 8;     // and so many requests on top, in any second
   double ttl_max_s = 5;        // of the directory's answers
+  double canary_share = 0.1;   // of a service's requests that may reach a version not proven
+  int64_t canary_slack = 50;   // and so many on top
+  int64_t rollback_ms = 5000;  // from when a version is plainly bad until nothing is sent there
 
   // What may be lost at once without loss of what was acknowledged.
   int64_t tolerance_machines = 1;
@@ -94,6 +98,8 @@
     auto at = zones.find(of_zone);
     return at == zones.end() ? std::string() : at->second;
   }
+  // Servers of a version get traffic only by an operator's order. Elsewhere versions mean nothing.
+  bool VersionsByOrder() const;
   uint16_t ControllerPort() const { return port_first; }
   uint16_t ProxyPort() const { return static_cast<uint16_t>(port_first + 1); }
 };
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -29,13 +29,13 @@
   // The same, and not colder than was known: a warm-up that only goes on is no change.
   bool Same(const Server& o) const {
     return id == o.id && service == o.service && address == o.address && zone == o.zone &&
-           capacity == o.capacity && draining == o.draining &&
+           revision == o.revision && capacity == o.capacity && draining == o.draining &&
            (o.warmup_left_ms == 0 || o.warm_at <= warm_at + kWarmSlackMs);
   }
   template <class A>
   void serialize(A& a) {
-    a(wire::Short(id), wire::Short(service), wire::Short(address), wire::Short(zone), capacity,
-      draining, warmup_left_ms);
+    a(wire::Short(id), wire::Short(service), wire::Short(address), wire::Short(zone),
+      wire::Short(revision), capacity, draining, warmup_left_ms);
   }
 
   static constexpr base::Millis kWarmSlackMs = 400;
--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -255,6 +255,17 @@
   return {Write(d), Refusal{0, ""}};
 }
 
+bool HasService(std::string_view text, const std::string& label) {
+  Document d;
+  if (!ReadInto(text, &d)) return false;
+  auto services = d.FindMember("service-list");
+  if (services == d.MemberEnd() || !services->value.IsArray()) return false;
+  for (const Value& service : services->value.GetArray()) {
+    if (service.IsObject() && service.HasMember("label") && service["label"] == label) return true;
+  }
+  return false;
+}
+
 const Route* Table::Match(std::string_view host, std::string_view path) const {
   size_t colon = host.find(':');
   auto at = hosts_.find(Lower(std::string(host.substr(0, colon))));
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -23,6 +23,8 @@
 Refusal CheckReadable(std::string_view text);
 // The revision that a readable document names; 0 if it names none.
 int64_t RevisionOf(std::string_view text);
+// Whether a readable document lists such a service.
+bool HasService(std::string_view text, const std::string& label);
 // Checks everything but how it stands to the current one; empty reason when it is valid.
 Refusal CheckValid(std::string_view text);
 // The document that a PATCH makes of `base`; both must be readable.
--- a/src/configuration/operator_api.cc
+++ b/src/configuration/operator_api.cc
@@ -1,10 +1,17 @@
 #include "configuration/operator_api.h"
 
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
 #include <vector>
 
+#include "base/settings.h"
+
 namespace elderkeel::configuration {
 namespace {
 constexpr size_t kMaxJobs = 128;
+constexpr size_t kMaxOrderBytes = 4096;
 
 // A number as If-Match carries it, with or without quotes; -1 when it is none.
 int64_t MatchOf(const std::string* header) {
@@ -16,6 +23,32 @@
   return wire::ParseDecimal(text);
 }
 
+// Takes an order for a roll-out from `body`; what is wrong with it, if anything is.
+std::string ReadOrder(const std::string& body, rollout::Order* order) {
+  static const rapidjson::Document schema = [] {
+    rapidjson::Document d;
+    d.Parse(R"({
+      "type": "object",
+      "required": ["target", "target-revision", "over-s"],
+      "properties": {
+        "target": {"type": "string", "minLength": 1, "maxLength": 256},
+        "target-revision": {"type": "string", "minLength": 1, "maxLength": 128},
+        "over-s": {"type": "number", "minimum": 0, "exclusiveMinimum": true, "maximum": 86400}
+      }})");
+    return d;
+  }();
+  if (body.size() > kMaxOrderBytes) return "the body is too large";
+  rapidjson::Document d;
+  d.Parse<rapidjson::kParseIterativeFlag>(body.data(), body.size());
+  if (d.HasParseError() || !d.IsObject()) return "the body is no JSON object";
+  std::string fault = base::SchemaFault(schema, d);
+  if (!fault.empty()) return fault;
+  order->service = d["target"].GetString();
+  order->version = d["target-revision"].GetString();
+  order->over_ms = std::max<int64_t>(1, static_cast<int64_t>(d["over-s"].GetDouble() * 1000));
+  return "";
+}
+
 }  // namespace
 
 void OperatorApi::Reply(uint64_t ticket, int status, const std::string& reason) {
@@ -54,6 +87,7 @@
     }
     return true;
   }
+  if (request.Path() != "/elderkeel/config") return UnderstandRollout(request, job);
   if (request.method == "GET") return true;
   job->kind = Job::Kind::kChange;
   job->change.patch = request.method == "PATCH";
@@ -70,9 +104,37 @@
   return true;
 }
 
+bool OperatorApi::UnderstandRollout(const wire::Message& request, Job* job) {
+  std::string_view path = request.Path();
+  bool one = path.size() >= kRollouts.size();
+  if (request.method != (one ? "GET" : "POST")) {
+    Reply(job->ticket, 405, one ? "GET" : "POST");
+    return false;
+  }
+  if (one) {
+    job->kind = Job::Kind::kRolloutRead;
+    job->rollout.service = path.substr(kRollouts.size());
+    return true;
+  }
+  job->kind = Job::Kind::kRollout;
+  std::string fault = ReadOrder(request.body, &job->rollout);
+  if (!fault.empty()) {
+    Reply(job->ticket, 400, fault);
+    return false;
+  }
+  return true;
+}
+
 // An order that is in force already needs no entry: it may be one that is sent again.
 Register::Verdict OperatorApi::Judge(const Job& job) const {
   if (job.kind == Job::Kind::kChange) return state_->Judge(job.change);
+  if (job.kind == Job::Kind::kRollout) {
+    rollout::Rollouts::Verdict verdict = rollouts_->Judge(job.rollout);
+    if (verdict.status == 0 && !log_->HasService(job.rollout.service)) {
+      return {404, "target: there is no such service"};
+    }
+    return {verdict.status, verdict.reason};
+  }
   if (orders_->Evacuated(job.order.zone) == job.order.evacuate) return {200, ""};
   return {};
 }
@@ -109,6 +171,42 @@
   Serve(now);
 }
 
+std::optional<uint64_t> OperatorApi::Propose(const Job& job) {
+  switch (job.kind) {
+    case Job::Kind::kOrder:
+      return log_->Propose(job.order);
+    case Job::Kind::kRollout:
+      return log_->Propose(job.rollout);
+    default:
+      return log_->Propose(job.change);
+  }
+}
+
+void OperatorApi::Tell(const Job& job) {
+  wire::Message answer;
+  answer.status = 200;
+  answer.headers.push_back({"Content-Type", "application/json"});
+  if (job.kind == Job::Kind::kRolloutRead) {
+    const rollout::Rollout* rollout = rollouts_->Of(job.rollout.service);
+    if (!rollout) return Reply(job.ticket, 404, "no roll-out of this service was ordered");
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+    w.StartObject();
+    w.Key("status");
+    w.String(rollout::StatusWord(rollout->stage));
+    w.Key("target-revision");
+    w.String(rollout->order.version.c_str());
+    w.EndObject();
+    answer.body.assign(buffer.GetString(), buffer.GetSize());
+  } else if (state_->empty()) {
+    return Reply(job.ticket, 404, "no configuration yet");
+  } else {
+    answer.headers.push_back({"ETag", "\"" + std::to_string(state_->revision()) + "\""});
+    answer.body = state_->text();
+  }
+  answer_(job.ticket, answer);
+}
+
 void OperatorApi::Serve(base::Millis) {
   for (auto at = jobs_.begin(); at != jobs_.end();) {
     uint64_t token = at->first;
@@ -117,17 +215,8 @@
       ++at;
       continue;
     }
-    if (job.kind == Job::Kind::kRead) {
-      if (state_->empty()) {
-        Reply(job.ticket, 404, "no configuration yet");
-      } else {
-        wire::Message answer;
-        answer.status = 200;
-        answer.headers.push_back({"Content-Type", "application/json"});
-        answer.headers.push_back({"ETag", "\"" + std::to_string(state_->revision()) + "\""});
-        answer.body = state_->text();
-        answer_(job.ticket, answer);
-      }
+    if (job.kind == Job::Kind::kRead || job.kind == Job::Kind::kRolloutRead) {
+      Tell(job);
       at = jobs_.erase(at);
       continue;
     }
@@ -141,8 +230,7 @@
       at = jobs_.erase(at);
       continue;
     }
-    auto index =
-        job.kind == Job::Kind::kOrder ? log_->Propose(job.order) : log_->Propose(job.change);
+    auto index = Propose(job);
     if (!index) {
       Reply(job.ticket, 503, "the log takes nothing now");
       at = jobs_.erase(at);
--- a/src/configuration/operator_api.h
+++ b/src/configuration/operator_api.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "configuration/register.h"
 #include "evacuation/orders.h"
+#include "rollout/rollouts.h"
 #include "wire/http.h"
 
 namespace elderkeel::configuration {
@@ -27,8 +28,11 @@
   // The index of the entry; Applied(index) follows if it is committed.
   virtual std::optional<uint64_t> Propose(const Change& change) = 0;
   virtual std::optional<uint64_t> Propose(const evacuation::Order& order) = 0;
+  virtual std::optional<uint64_t> Propose(const rollout::Order& order) = 0;
   // Whether there is such a zone.
   virtual bool HasZone(const std::string& zone) const = 0;
+  // Whether the newest configuration has such a service.
+  virtual bool HasService(const std::string& service) const = 0;
 };
 
 // The operator's interface. Changes are taken one at a time: a verdict never rests on an entry that
@@ -38,17 +42,20 @@
  public:
   using Answer = std::function<void(uint64_t ticket, const wire::Message&)>;
 
-  OperatorApi(Log* log, const Register* state, const evacuation::Orders* orders, Answer answer,
-              base::Millis patience = 850)
+  OperatorApi(Log* log, const Register* state, const evacuation::Orders* orders,
+              const rollout::Rollouts* rollouts, Answer answer, base::Millis patience = 850)
       : log_(log),
         state_(state),
         orders_(orders),
+        rollouts_(rollouts),
         answer_(std::move(answer)),
         patience_(patience) {}
 
   static bool Owns(std::string_view path) {
-    return path == "/elderkeel/config" || path.rfind(kEvacuation, 0) == 0;
+    return path == "/elderkeel/config" || path.rfind(kEvacuation, 0) == 0 ||
+           path == kRollouts.substr(0, kRollouts.size() - 1) || path.rfind(kRollouts, 0) == 0;
   }
+  static constexpr std::string_view kRollouts = "/elderkeel/rollouts/";
   static constexpr std::string_view kEvacuation = "/elderkeel/evacuation/";
 
   void OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request);
@@ -63,10 +70,11 @@
  private:
   struct Job {
     uint64_t ticket = 0;
-    enum class Kind { kRead, kChange, kOrder } kind = Kind::kRead;
+    enum class Kind { kRead, kChange, kOrder, kRollout, kRolloutRead } kind = Kind::kRead;
     bool confirmed = false;
     Change change;
     evacuation::Order order;
+    rollout::Order rollout;
     base::Millis deadline = 0;
   };
 
@@ -74,12 +82,17 @@
   void Reply(uint64_t ticket, int status, const std::string& reason);
   // Fills in the job of a request; false if the request was answered at once.
   bool Understand(const wire::Message& request, Job* job);
+  bool UnderstandRollout(const wire::Message& request, Job* job);
   Register::Verdict Judge(const Job& job) const;
+  std::optional<uint64_t> Propose(const Job& job);
+  // The answer to a job that only reads.
+  void Tell(const Job& job);
   void Elsewhere(uint64_t ticket, const std::string& target);
 
   Log* log_;
   const Register* state_;
   const evacuation::Orders* orders_;
+  const rollout::Rollouts* rollouts_;
   Answer answer_;
   base::Millis patience_;
   uint64_t next_token_ = kFirstToken;
--- a/src/controller/control_state.h
+++ b/src/controller/control_state.h
@@ -6,13 +6,14 @@
 #include "configuration/register.h"
 #include "duty/duty.h"
 #include "evacuation/orders.h"
+#include "rollout/rollouts.h"
 #include "wire/frame.h"
 
 namespace elderkeel::controller {
 
 // What an entry of the log changes.
 struct Command {
-  enum class Kind : uint8_t { kConfiguration, kDuty, kEvacuation };
+  enum class Kind : uint8_t { kConfiguration, kDuty, kEvacuation, kRollout };
   Kind kind = Kind::kConfiguration;
   std::string payload;
   template <class A>
@@ -26,8 +27,9 @@
   configuration::Register configuration;
   duty::Duty duty;
   evacuation::Orders orders;
+  rollout::Rollouts rollouts;
 
-  enum class Effect { kNone, kConfiguration, kDuty, kEvacuation };
+  enum class Effect { kNone, kConfiguration, kDuty, kEvacuation, kRollout };
   Effect Apply(const std::string& data) {
     auto command = wire::Decode<Command>(data);
     if (!command) return Effect::kNone;
@@ -39,6 +41,10 @@
       auto order = wire::Decode<evacuation::Order>(command->payload);
       return order && orders.Apply(*order) ? Effect::kEvacuation : Effect::kNone;
     }
+    if (command->kind == Command::Kind::kRollout) {
+      auto step = wire::Decode<rollout::Step>(command->payload);
+      return step && rollouts.Apply(*step) ? Effect::kRollout : Effect::kNone;
+    }
     auto named = wire::Decode<duty::Duty>(command->payload);
     if (!named || named->epoch <= duty.epoch) return Effect::kNone;
     duty = *named;
@@ -47,17 +53,24 @@
 
   template <class A>
   void serialize(A& a) {
-    a(configuration, duty, orders);
+    a(configuration, duty, orders, rollouts);
   }
 
-  // From a snapshot; those of before there were evacuations end earlier.
+  // From a snapshot; those of before there were roll-outs, or evacuations, end earlier.
   static std::optional<ControlState> Read(const std::string& bytes) {
     if (auto state = wire::Decode<ControlState>(bytes)) return state;
-    struct Before {
+    struct BeforeRollouts {
+      ControlState state;
+      void serialize(cereal::BinaryInputArchive& a) {
+        a(state.configuration, state.duty, state.orders);
+      }
+    };
+    if (auto before = wire::Decode<BeforeRollouts>(bytes)) return std::move(before->state);
+    struct BeforeEvacuations {
       ControlState state;
       void serialize(cereal::BinaryInputArchive& a) { a(state.configuration, state.duty); }
     };
-    auto before = wire::Decode<Before>(bytes);
+    auto before = wire::Decode<BeforeEvacuations>(bytes);
     if (!before) return std::nullopt;
     return std::move(before->state);
   }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -21,6 +21,7 @@
 constexpr base::Millis kLeaveMs = 800;
 constexpr size_t kMaxInquiries = 16;
 constexpr base::Millis kInquiryMs = 1500;
+constexpr base::Millis kVersionsEveryMs = 500;
 constexpr size_t kMaxControlBody = 16u << 20;
 
 consensus::MemberId FounderId(const base::Address& address) {
@@ -154,6 +155,7 @@
   log.caught_up = [this] {
     if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
     fleet_->Commit(state_.orders);
+    AdoptRollouts(base::SteadyMillis());
   };
   log.install = [this](const consensus::Snapshot& snapshot) {
     ControlState state;
@@ -167,12 +169,13 @@
     state_ = std::move(state);
     if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
     fleet_->Commit(state_.orders);
+    AdoptRollouts(base::SteadyMillis());
   };
   log.snapshot_state = [this] { return wire::Encode(state_); };
   log.read_done = [this](uint64_t token, bool ok) { ReadDone(token, ok); };
   log.role_changed = [this] { RoleChanged(); };
   operator_ = std::make_unique<configuration::OperatorApi>(
-      this, &state_.configuration, &state_.orders,
+      this, &state_.configuration, &state_.orders, &state_.rollouts,
       [this](uint64_t ticket, const wire::Message& answer) { control_->Answer(ticket, answer); });
   wire::HttpServer::Options server;
   server.limits = [] {
@@ -189,6 +192,11 @@
   replica_ = std::make_unique<consensus::Replica>(loop_, std::move(log));
   auto started = fleet_->Start();
   if (!started) return started;
+  rollout::Watcher::Options watcher;
+  watcher.self = fleet_->members().self().id;
+  watcher.life = life_;
+  watcher.canary_share = rollout::Gate({settings_.canary_share}).CanaryShare();
+  watcher_ = std::make_unique<rollout::Watcher>(watcher);
   Begin();
   begin_.Repeat(loop_, kBeginMs, [this] {
     if (Begin()) begin_.Cancel();
@@ -306,6 +314,12 @@
       }
       break;
     }
+    case wire::Kind::kTally:
+      if (auto m = wire::Decode<rollout::Tally>(payload)) OnTally(from, *m);
+      break;
+    case wire::Kind::kVote:
+      if (auto m = wire::Decode<rollout::Vote>(payload)) conductor_.OnVote(now, *m);
+      break;
     default:
       break;
   }
@@ -370,6 +384,9 @@
       Note("evacuation.changed", zones.empty() ? "no zone" : zones);
       break;
     }
+    case ControlState::Effect::kRollout:
+      AdoptRollouts(base::SteadyMillis());
+      break;
     case ControlState::Effect::kNone:
       break;
   }
@@ -408,16 +425,104 @@
   operator_->Tick(now);
   FinishInquiries(now);
   SeekMembership(now);
-  if (leading() && !leaving_) ReviewDuty(now);
+  if (leading() && !leaving_) {
+    ReviewDuty(now);
+    ReviewRollouts(now);
+  }
+  if (watcher_->active()) TellVotes(now);
   WatchPlatform(now);
 }
 
+bool Controller::HasService(const std::string& service) const {
+  return configuration::HasService(state_.configuration.text(), service);
+}
+
+std::optional<uint64_t> Controller::Propose(const rollout::Order& order) {
+  rollout::Step step;
+  step.kind = rollout::Step::Kind::kOrder;
+  step.order = order;
+  step.watchers = rollout::NameWatchers(order.service, Watchers());
+  return replica_->Propose(MakeCommand(Command::Kind::kRollout, step));
+}
+
+// Controllers that have a part in the log watch, since they hear the leader.
+std::vector<rollout::Candidate> Controller::Watchers() const {
+  std::vector<rollout::Candidate> durable, all;
+  auto add = [&](const ring::Node& node) {
+    if (node.program != ring::Program::kController || node.state != ring::State::kAlive) return;
+    all.push_back({node.id, node.zone});
+    if (node.durable) durable.push_back(all.back());
+  };
+  for (const auto& [id, node] : fleet_->members().nodes()) add(node);
+  return durable.empty() ? all : durable;
+}
+
+void Controller::AdoptRollouts(base::Millis now) {
+  conductor_.Adopt(now, state_.rollouts);
+  watcher_->Adopt(state_.rollouts);
+  for (const auto& [service, rollout] : state_.rollouts.rollouts()) {
+    std::string state =
+        std::string(rollout::StageName(rollout.stage)) + " " + rollout.order.version;
+    std::string& told = rollouts_told_[service];
+    if (told == state) continue;
+    told = state;
+    base::Info("rollout.stage", {{"service", service},
+                                 {"version", rollout.order.version},
+                                 {"from", rollout.from},
+                                 {"stage", rollout::StageName(rollout.stage)},
+                                 {"reason", rollout.reason},
+                                 {"elapsed_ms", rollout.elapsed_ms}});
+    Note("rollout." + std::string(rollout::StageName(rollout.stage)),
+         service + " " + rollout.order.version);
+  }
+  fleet_->Commit(state_.rollouts);
+}
+
+void Controller::ReviewRollouts(base::Millis now) {
+  if (!settled() || !settings_.VersionsByOrder()) return;
+  for (const rollout::Step& step : conductor_.Review(now, state_.rollouts, Watchers())) {
+    replica_->Propose(MakeCommand(Command::Kind::kRollout, step));
+  }
+  const catalog::Catalog& catalog = fleet_->news().catalog();
+  if (catalog.epoch == 0 || now < versions_at_) return;
+  versions_at_ = now + kVersionsEveryMs;
+  rollout::Step found;
+  found.found = rollout::FindVersions(state_.rollouts, catalog);
+  if (!found.found.empty()) replica_->Propose(MakeCommand(Command::Kind::kRollout, found));
+}
+
+bool Controller::HearsLeader(base::Millis now) const {
+  const consensus::Machine& m = replica_->machine();
+  return leading() ? settled()
+                   : m.leader_heard() != 0 && now - m.leader_heard() < settings_.election_ms * 2;
+}
+
+void Controller::OnTally(const base::Address& from, const rollout::Tally& tally) {
+  base::Millis now = base::SteadyMillis();
+  if (!watcher_->OnTally(now, tally) || !tally.asks || !HearsLeader(now)) return;
+  fleet_->mesh().SendDatagram(from, wire::Kind::kTouch,
+                              rollout::Touch{tally.number, state_.rollouts.version()});
+}
+
+void Controller::TellVotes(base::Millis now) {
+  std::vector<rollout::Watcher::InSight> proxies;
+  for (const auto& [id, node] : fleet_->members().nodes()) {
+    if (node.program != ring::Program::kProxy || node.state == ring::State::kLeft) continue;
+    proxies.push_back({id, node.reachable()});
+  }
+  for (const rollout::Vote& vote : watcher_->Tick(now, proxies)) {
+    if (leading()) {
+      conductor_.OnVote(now, vote);
+    } else if (auto leader = replica_->machine().leader()) {
+      fleet_->mesh().Send(leader->address(), wire::Kind::kVote, vote);
+    }
+  }
+}
+
 // A controller that no leader speaks to asks to be taken in, wherever it can.
 void Controller::SeekMembership(base::Millis now) {
-  const consensus::Machine& m = replica_->machine();
-  if (leaving_ || m.leading() || now < join_at_ || Idle()) return;
-  bool heard = m.leader_heard() != 0 && now - m.leader_heard() < settings_.election_ms * 2;
-  if (heard) return;
+  if (leaving_ || leading() || now < join_at_ || Idle()) return;
+  if (HearsLeader(now)) return;
   join_at_ = now + kJoinEveryMs;
   for (const base::Address& address : fleet_->Controllers()) {
     fleet_->mesh().Send(address, wire::Kind::kJoin, replica_->self());
@@ -611,9 +716,7 @@
     w.Null();
   }
   w.Key("settled");
-  bool heard = leading()
-                   ? settled()
-                   : m.leader_heard() != 0 && now - m.leader_heard() < settings_.election_ms * 2;
+  bool heard = HearsLeader(now);
   w.Bool(heard);
   if (!heard) text("unknown", "no majority is heard: what follows is this controller's own view");
   w.Key("voters");
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -15,6 +15,9 @@
 #include "news/confirm.h"
 #include "news/fleet.h"
 #include "readiness/settings_watch.h"
+#include "rollout/conductor.h"
+#include "rollout/gate.h"
+#include "rollout/watcher.h"
 #include "wire/http_server.h"
 
 namespace elderkeel::controller {
@@ -48,7 +51,9 @@
   std::optional<uint64_t> Propose(const evacuation::Order& order) override {
     return replica_->Propose(MakeCommand(Command::Kind::kEvacuation, order));
   }
+  std::optional<uint64_t> Propose(const rollout::Order& order) override;
   bool HasZone(const std::string& zone) const override;
+  bool HasService(const std::string& service) const override;
 
   consensus::Replica::Options ReplicaOptions(std::vector<base::Address> founders) const;
   // The log begins once it is known which of the seeds have a disk; true if it has begun.
@@ -66,6 +71,13 @@
   void Tick();
   void SeekMembership(base::Millis now);
   void ReviewDuty(base::Millis now);
+  // The state of the roll-outs changed, by the log or a snapshot.
+  void AdoptRollouts(base::Millis now);
+  void ReviewRollouts(base::Millis now);
+  void TellVotes(base::Millis now);
+  std::vector<rollout::Candidate> Watchers() const;
+  void OnTally(const base::Address& from, const rollout::Tally& tally);
+  bool HearsLeader(base::Millis now) const;
   void WatchPlatform(base::Millis now);
   void Resign(base::Millis now, const char* why);
   std::vector<duty::Candidate> Candidates(base::Millis now) const;
@@ -91,6 +103,9 @@
   std::unique_ptr<catalog::Platform> platform_;
   std::unique_ptr<readiness::SettingsWatch> watch_;
   duty::Assignment assignment_;
+  rollout::Conductor conductor_{rollout::Conductor::Options()};
+  std::unique_ptr<rollout::Watcher> watcher_;
+  std::map<std::string, std::string> rollouts_told_;  // on the log, by service
   base::Timer tick_;
   base::Timer begin_;
   base::Timer leave_;
@@ -111,6 +126,7 @@
   base::Millis read_ok_at_ = 0;  // when this holder last read the list
   base::Millis resigned_at_ = 0;
   base::Millis claimed_at_ = 0;
+  base::Millis versions_at_ = 0;  // when the versions in force were last proposed
   const uint64_t life_;
   uint64_t watched_epoch_ = 0;
   uint64_t sequence_ = 0;
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -27,6 +27,7 @@
 constexpr base::Millis kSpreadMs = 1500;    // beyond reading the list: until its news is here
 constexpr size_t kStreamBytes = 256 << 10;  // of a streamed answer that the client has not taken
 constexpr double kMeanWeight = 0.05;
+constexpr double kLateMeans = 3.2;  // of the route's mean: what takes longer counts as late
 constexpr const char* kAttempt = "Elderkeel-Attempt-Id";
 constexpr const char* kRemaining = "Elderkeel-Remaining-Ms";
 constexpr const char* kExpected = "Elderkeel-Expected-Server";
@@ -73,6 +74,12 @@
           }(),
           &services_, &regions_, base::SystemSeed()),
       demand_(settings.zone),
+      gate_([&] {
+        rollout::Gate::Options options;
+        options.share = settings.canary_share;
+        options.lease = std::max<base::Millis>(500, settings.rollback_ms / 2);
+        return options;
+      }()),
       budget_(BudgetBounds(settings)),
       server_(loop,
               ServerOptions(
@@ -129,7 +136,7 @@
 }
 
 void Front::Adopt(const catalog::Catalog& catalog) {
-  has_catalog_ = true;
+  if (has_catalog_at_ < 0) has_catalog_at_ = base::SteadyMillis();
   for (const Servers::Change& change : servers_.Adopt(base::SteadyMillis(), catalog)) {
     telemetry::ControlRecord record;
     record.server = change.server;
@@ -172,6 +179,62 @@
   for (uint32_t i = 0; i < queues_.size(); ++i) PumpQueue(i);
 }
 
+void Front::Adopt(const rollout::Rollouts& rollouts) {
+  if (!settings_.VersionsByOrder()) return;
+  base::Millis now = base::SteadyMillis();
+  gate_.Adopt(now, rollouts);
+  versions_ = rollouts.version();
+  for (const auto& [service, version] : rollouts.in_force()) rules_[service];
+  for (const auto& [service, rollout] : rollouts.rollouts()) rules_[service];
+  ReviewVersions(now);
+  for (uint32_t i = 0; i < queues_.size(); ++i) PumpQueue(i);
+}
+
+void Front::ReviewVersions(base::Millis now) {
+  for (auto& [service, in_force] : rules_) {
+    rollout::Rule rule = gate_.RuleOf(now, service);
+    if (rule == in_force) continue;
+    in_force = rule;
+    for (uint32_t server :
+         servers_.SetVersions(services_.Intern(service), rule, gate_.CanaryShare())) {
+      DropIdle(server);
+    }
+  }
+}
+
+std::vector<Front::Told> Front::TellTallies() {
+  std::vector<Told> all;
+  base::Millis now = base::SteadyMillis();
+  for (const std::string& service : gate_.ActiveServices()) {
+    Told told;
+    told.tally = gate_.Tell(now, service);
+    const rollout::Rollout& rollout = *gate_.RolloutOf(service);
+    told.watchers = rollout.watchers;
+    uint32_t index = services_.Intern(service);
+    told.tally.new_busy = servers_.InFlight(index, rollout.order.version);
+    told.tally.old_busy = servers_.InFlight(index, rollout.from);
+    all.push_back(std::move(told));
+  }
+  return all;
+}
+
+void Front::Heard(const rollout::Touch& touch) { gate_.Heard(base::SteadyMillis(), touch); }
+
+void Front::Count(const Exchange& x, const Send& send, rollout::Gate::Ending ending,
+                  base::Millis took) {
+  if (!gate_.active()) return;
+  rollout::Gate::Send told;
+  told.service = services_.Name(servers_.at(send.server).service);
+  if (!gate_.RolloutOf(told.service)) return;
+  told.version = servers_.VersionOf(send.server);
+  told.server = servers_.at(send.server).id;
+  told.route = x.route->label;
+  told.ending = ending;
+  told.timed = send.timed;
+  told.late = took > send.late;
+  gate_.Count(told);
+}
+
 // What may run only once is never begun ahead of its turn: were an answer before it to end the
 // connection, the client could not know whether it ran.
 bool Front::MayOvertake(const Message& request) const {
@@ -215,8 +278,21 @@
 }
 
 uint32_t Front::ChooseFor(base::Millis now, const Exchange& x) {
-  return servers_.Choose(now, x.service, MeanOf(x.route_index), x.tried, x.route->idempotent,
-                         x.route->regions);
+  auto choose = [&](bool side) {
+    return servers_.Choose(now, x.service, MeanOf(x.route_index), x.tried, x.route->idempotent,
+                           x.route->regions, side);
+  };
+  if (!gate_.active()) return choose(false);
+  // A request drawn for another version than the others, when that has room; a further try goes to
+  // the version that is known to be good.
+  const std::string& service = services_.Name(x.service);
+  bool side = x.tried.empty() ? gate_.TakesSide(now, service, base::Hash(x.attempt))
+                              : gate_.SideForFurther(now, service);
+  uint32_t server = side ? choose(true) : Servers::kNone;
+  if (server == Servers::kNone) server = choose(false);
+  // While the traffic moves, what one version has no room for goes to the other.
+  if (server == Servers::kNone && gate_.SideForFurther(now, service)) server = choose(true);
+  return server;
 }
 
 double& Front::MeanOf(uint32_t route) {
@@ -278,6 +354,7 @@
       std::min(x->deadline, x->arrived + route->aim_ms * settings_.wait_share_percent / 100);
   exchanges_.emplace(ticket, std::move(exchange));
   budget_.Earn(x->service);
+  if (gate_.active()) gate_.Earn(services_.Name(x->service));
   Place(x);
 }
 
@@ -346,7 +423,7 @@
 
 void Front::GiveBack(uint32_t server, std::unique_ptr<wire::HttpConnection> connection) {
   const Server& s = servers_.at(server);
-  if (connection->closed() || !s.listed || s.draining) {
+  if (connection->closed() || !s.listed || s.draining || s.part == Server::Part::kBarred) {
     Discard(server, std::move(connection));
     return;
   }
@@ -415,6 +492,11 @@
   send.entry = x->ledger.Begin();
   send.server = server;
   send.begun = now;
+  send.late = static_cast<base::Millis>(MeanOf(x->route_index) * kLateMeans) + 1;
+  send.timed = now >= servers_.at(server).warm_at;
+  if (gate_.active()) {
+    gate_.Sent(services_.Name(servers_.at(server).service), servers_.VersionOf(server));
+  }
   x->tried.push_back(server);
   x->last_server = server;
   servers_.Begin(now, server);
@@ -439,10 +521,10 @@
   send.connection = std::move(connection);
   x->sends.push_back(std::move(send));
   if (settings_.second_sends && x->route->idempotent && x->ledger.MaySend() && x->second_at == 0) {
-    double mean = MeanOf(x->route_index);
-    base::Millis late =
-        std::max<base::Millis>(static_cast<base::Millis>(mean * 2), x->route->aim_ms / 2);
-    x->second_at = now + late;
+    // A version that is not proven shows how slow it is before its request gets another try.
+    bool unproven = servers_.at(server).part == Server::Part::kSide;
+    x->second_at = now + std::max(SecondAfter(MeanOf(x->route_index), *x->route),
+                                  unproven ? x->sends.back().late : 0);
   }
   Arm(x);
   return true;
@@ -531,6 +613,15 @@
   } else {
     GiveBack(send.server, std::move(send.connection));
   }
+  if (fate == Fate::kRun || fate == Fate::kMaybeRun) {
+    using Result = rollout::Gate::Ending;
+    Count(*x, send,
+          fate == Fate::kMaybeRun            ? Result::kBroken
+          : outcome.answer.status / 100 == 5 ? Result::kFailed
+                                             : Result::kWhole,
+          now - send.begun);
+  }
+  bool usual = servers_.at(send.server).part == Server::Part::kMain;
   servers_.End(now, send.server, send.begun, signal, latency, mean);
   Ended(now, send.server);
   x->ledger.End(send.entry, fate);
@@ -552,7 +643,7 @@
     const Message& answer = outcome.answer;
     int status = answer.status;
     if (status / 100 == 2 || (status < 500 && status != 429 && status != 408)) {
-      if (status / 100 == 2) mean += kMeanWeight * (latency - mean);
+      if (status / 100 == 2 && usual) mean += kMeanWeight * (latency - mean);
       Finish(x, answer, Step::kAnswer, status / 100 == 2 ? "" : "the server's answer",
              status / 100 != 2);
       PumpQueue(service);
@@ -636,6 +727,10 @@
       x->sends.push_back(std::move(send));
       continue;
     }
+    // One that had time enough and gave no answer tells as much as one that answered late.
+    if (now - send.begun > send.late) {
+      Count(*x, send, rollout::Gate::Ending::kWhole, now - send.begun);
+    }
     servers_.Abandon(now, send.server, send.begun, MeanOf(x->route_index));
     Discard(send.server, std::move(send.connection));
     Ended(now, send.server);
@@ -754,6 +849,7 @@
       }
     }
   }
+  if (gate_.active()) ReviewVersions(now);
   for (uint32_t server : servers_.DueProbes(now)) Probe(server);
   ShareOut(now);
   for (uint32_t i = 0; i < queues_.size(); ++i) PumpQueue(i);
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -15,6 +15,7 @@
 #include "evacuation/orders.h"
 #include "forwarding/ledger.h"
 #include "forwarding/servers.h"
+#include "rollout/gate.h"
 #include "telemetry/recorder.h"
 #include "wire/http_client.h"
 #include "wire/http_server.h"
@@ -31,6 +32,15 @@
   void Adopt(std::shared_ptr<const configuration::Table> table);
   void Adopt(const catalog::Catalog& catalog);
   void Adopt(const evacuation::Orders& orders);
+  void Adopt(const rollout::Rollouts& rollouts);
+  // What the watchers of each roll-out under way are told; who tells it is left to the caller.
+  struct Told {
+    rollout::Tally tally;
+    std::vector<uint64_t> watchers;
+  };
+  std::vector<Told> TellTallies();
+  bool rolling_out() const { return gate_.active(); }
+  void Heard(const rollout::Touch& touch);
   // Proxies in sight, this one included, share the servers' connections; those that may exist, the
   // budgets.
   void SetProxies(size_t proxies, size_t possible);
@@ -43,8 +53,14 @@
   // How busy the zones are, for the peers and from them.
   demand::Report TellDemand();
   void HearDemand(const demand::Report& report);
-  // Until both a configuration and a catalog are there, requests get 503.
-  bool able() const { return table_ != nullptr && has_catalog_; }
+  // Until a configuration and a catalog are there, requests get 503; and, where versions get
+  // traffic by order, until it is known which, or nobody is there to say it.
+  bool able() const {
+    return table_ != nullptr && has_catalog_at_ >= 0 &&
+           (!settings_.VersionsByOrder() || versions_known() ||
+            base::SteadyMillis() - has_catalog_at_ > kVersionsPatienceMs);
+  }
+  bool versions_known() const { return versions_ > 0; }
 
   void SetLeaving() { server_.SetLeaving(true); }
   void StopListening() { server_.StopListening(); }
@@ -65,6 +81,8 @@
     size_t entry = 0;  // in the ledger
     uint32_t server = 0;
     base::Millis begun = 0;
+    base::Millis late = 0;  // how long it may take without being late
+    bool timed = false;     // its time says something of its server's version
     std::unique_ptr<wire::HttpConnection> connection;
   };
 
@@ -139,6 +157,14 @@
   telemetry::Recorder* recorder_;
   bool MayOvertake(const wire::Message& request) const;
   uint32_t ChooseFor(base::Millis now, const Exchange& x);
+  // Puts in force what the roll-outs allow now.
+  void ReviewVersions(base::Millis now);
+  // Counts how a send ended, for the watchers of its service's roll-out.
+  void Count(const Exchange& x, const Send& send, rollout::Gate::Ending ending, base::Millis took);
+  // After how long a second send of a late request is due.
+  static base::Millis SecondAfter(double mean, const configuration::Route& route) {
+    return std::max<base::Millis>(static_cast<base::Millis>(mean * 2), route.aim_ms / 2);
+  }
   void DropIdle(uint32_t server);
   // One send less is in flight there, and the choice has learnt how it ended.
   void Ended(base::Millis now, uint32_t server);
@@ -149,11 +175,15 @@
   base::Names regions_;
   base::Names routes_;
   std::shared_ptr<const configuration::Table> table_;
-  bool has_catalog_ = false;
+  base::Millis has_catalog_at_ = -1;
+  uint64_t versions_ = 0;  // of the state of the roll-outs
+  static constexpr base::Millis kVersionsPatienceMs = 1500;
   Servers servers_;
   demand::Demand demand_;
   std::vector<uint32_t> demand_keys_;  // of the services, by index
   base::Millis share_at_ = 0;
+  rollout::Gate gate_;
+  std::map<std::string, rollout::Rule> rules_;  // as they were last put in force, by service
   budget::Budget budget_;
   wire::HttpServer server_;
   std::vector<Pool> pools_;
--- a/src/forwarding/servers.cc
+++ b/src/forwarding/servers.cc
@@ -27,6 +27,7 @@
       s.id = entry.id;
       s.service = services_->Intern(entry.service);
       s.address = *address;
+      s.version = versions_.Intern(entry.revision);
       s.zone = zones_.Intern(entry.zone);
       auto region = options_.regions.find(entry.zone);
       s.region = regions_->Intern(region == options_.regions.end() ? entry.zone : region->second);
@@ -60,10 +61,77 @@
     if (servers_[i].service >= by_service_.size()) by_service_.resize(servers_[i].service + 1);
     by_service_[servers_[i].service].push_back(i);
   }
+  for (uint32_t service = 0; service < by_service_.size(); ++service) AssignParts(service);
   OrderServers();
   return changes;
 }
 
+std::vector<uint32_t> Servers::SetVersions(uint32_t service, const rollout::Rule& rule,
+                                           double few_share) {
+  if (service >= rules_.size()) rules_.resize(service + 1);
+  rules_[service] = {rule, few_share};
+  std::vector<uint32_t> barred;
+  if (service >= by_service_.size()) return barred;
+  AssignParts(service);
+  OrderServers();
+  for (uint32_t i : by_service_[service]) {
+    if (servers_[i].part == Server::Part::kBarred) barred.push_back(i);
+  }
+  return barred;
+}
+
+void Servers::AssignParts(uint32_t service) {
+  if (service >= rules_.size() || !rules_[service].rule.known) return;
+  const rollout::Rule& rule = rules_[service].rule;
+  using Part = Server::Part;
+  bool any_main = false;
+  // By zone, the servers of a version that only a few may show.
+  std::map<uint32_t, std::vector<std::pair<uint64_t, uint32_t>>> few;
+  for (uint32_t i : by_service_[service]) {
+    Server& s = servers_[i];
+    const std::string& version = versions_.Name(s.version);
+    if (!rule.barred.empty() && version == rule.barred) {
+      s.part = Part::kBarred;
+    } else if (!rule.side.empty() && version == rule.side) {
+      s.part = rule.few ? Part::kBarred : Part::kSide;
+      if (rule.few && !s.draining) {
+        few[s.zone].push_back({base::Hash(s.id, rule.number), i});
+      }
+    } else {
+      s.part = rule.main.empty() || version == rule.main ? Part::kMain : Part::kBarred;
+    }
+    any_main |= s.part == Part::kMain && !s.draining;
+  }
+  // The same few on every proxy, and in each zone, so that they see load as all will, and a request
+  // need not leave its zone.
+  for (auto& [zone, servers] : few) {
+    std::sort(servers.begin(), servers.end());
+    size_t least = (3 + few.size() - 1) / few.size();
+    size_t count = std::max(
+        least,
+        static_cast<size_t>(rules_[service].few_share * static_cast<double>(servers.size()) + 0.5));
+    for (size_t k = 0; k < std::min(count, servers.size()); ++k) {
+      servers_[servers[k].second].part = Part::kSide;
+    }
+  }
+  if (any_main) return;
+  // No server is left that may be sent to: what this node knows of versions is older than the list.
+  for (uint32_t i : by_service_[service]) {
+    if (rule.barred.empty() || versions_.Name(servers_[i].version) != rule.barred) {
+      servers_[i].part = Part::kMain;
+    }
+  }
+}
+
+uint32_t Servers::InFlight(uint32_t service, const std::string& version) const {
+  uint32_t index = versions_.Find(version);
+  uint32_t count = 0;
+  for (const Server& s : servers_) {
+    if (s.service == service && s.version == index) count += static_cast<uint32_t>(s.in_flight);
+  }
+  return count;
+}
+
 void Servers::SetPlace(size_t place, size_t places) {
   if (place == place_ && places == places_) return;
   place_ = place;
@@ -200,7 +268,7 @@
 
 uint32_t Servers::Choose(base::Millis now, uint32_t service, double mean_ms,
                          const std::vector<uint32_t>& tried, bool idempotent,
-                         const std::vector<uint32_t>& regions) {
+                         const std::vector<uint32_t>& regions, bool side) {
   if (service >= by_service_.size()) return kNone;
   mean_ms = std::max(1.0, mean_ms);
   uint32_t best = kNone;
@@ -210,7 +278,7 @@
   auto consider = [&](bool held_too) {
     for (uint32_t i : by_service_[service]) {
       Server& s = servers_[i];
-      if (!s.Usable() || !Allowed(s, regions)) continue;
+      if (!s.Takes(side) || !Allowed(s, regions)) continue;
       if (std::find(tried.begin(), tried.end(), i) != tried.end()) continue;
       if (Cold(now, s)) {
         // What all nodes together may send to it is one node's to give.
@@ -219,7 +287,7 @@
         if (s.allowance < 1) continue;
       }
       if (!held_too) {
-        if (!s.Open()) continue;
+        if (s.held_until != 0) continue;
         // A server just let back shows itself with what may be repeated.
         if (s.on_trial && (!idempotent || s.in_flight > 0)) continue;
       }
@@ -244,7 +312,7 @@
   };
   consider(false);
   // With nothing open, a condemned server is still better than none.
-  if (best == kNone && !any_open) consider(true);
+  if (best == kNone && !any_open && !side) consider(true);
   return best;
 }
 
@@ -322,6 +390,7 @@
     for (uint32_t i : service) {
       Server& s = servers_[i];
       if (s.draining || s.emptied || s.probing || s.on_trial) continue;
+      if (s.part == Server::Part::kBarred) continue;
       if (s.held_until == 0 || now < s.held_until) continue;
       s.probing = true;
       due.push_back(i);
--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -10,6 +10,7 @@
 #include "base/random.h"
 #include "base/settings.h"
 #include "catalog/catalog.h"
+#include "rollout/gate.h"
 
 namespace elderkeel::forwarding {
 
@@ -24,6 +25,10 @@
   bool near = false;     // in this node's zone
   bool far = false;      // in another region
   bool emptied = false;  // its zone is evacuated
+  uint32_t version = 0;
+  // Whether its version may be sent to: as any, by those requests alone that are drawn for it, or
+  // not at all.
+  enum class Part : uint8_t { kMain, kSide, kBarred } part = Part::kMain;
   int capacity = 1;
   bool listed = false;
   bool draining = false;
@@ -45,7 +50,10 @@
   bool probing = false;
   bool on_trial = false;
 
-  bool Usable() const { return listed && !draining && !emptied; }
+  bool Takes(bool side) const {
+    return listed && !draining && !emptied && part == (side ? Part::kSide : Part::kMain);
+  }
+  bool Usable() const { return Takes(false); }
   bool Open() const { return Usable() && held_until == 0; }
 };
 
@@ -106,6 +114,15 @@
   std::vector<ZoneSlots> SlotsByZone(uint32_t service) const;
   const std::string& ZoneName(uint32_t zone) const { return zones_.Name(zone); }
 
+  // Which of the service's versions may be sent to. The servers that may not be any more are told.
+  std::vector<uint32_t> SetVersions(uint32_t service, const rollout::Rule& rule, double few_share);
+  const std::string& VersionOf(uint32_t server) const {
+    return versions_.Name(servers_[server].version);
+  }
+  const std::string& VersionName(uint32_t version) const { return versions_.Name(version); }
+  // Sends in flight at servers of one version; those that are gone count too.
+  uint32_t InFlight(uint32_t service, const std::string& version) const;
+
   // Requests a second that a cold server of the service carries; 0: it only counts as slower.
   void SetWarmup(uint32_t service, double per_s);
   // The server says how much longer it is cold; known before the list tells it.
@@ -116,7 +133,7 @@
   // `regions`: the only ones allowed, if there are any.
   uint32_t Choose(base::Millis now, uint32_t service, double mean_ms,
                   const std::vector<uint32_t>& tried, bool idempotent,
-                  const std::vector<uint32_t>& regions);
+                  const std::vector<uint32_t>& regions, bool side = false);
   // Whether any server of the service could take a request, now or when it has room again.
   bool Any(uint32_t service, const std::vector<uint32_t>& regions) const;
 
@@ -140,6 +157,7 @@
   void OrderServers();
   uint32_t DrawZone(uint32_t service);
   void NameOwners();
+  void AssignParts(uint32_t service);
   bool Owns(const Server& s) const;
   bool Cold(base::Millis now, const Server& s) const {
     return now < s.warm_at && PerSecond(s.service) > 0;
@@ -154,6 +172,12 @@
   base::Names* services_;
   base::Names* regions_;
   base::Names zones_;
+  base::Names versions_;
+  struct Versions {
+    rollout::Rule rule;
+    double few_share = 0;
+  };
+  std::vector<Versions> rules_;  // by service
   std::vector<std::string> evacuated_;
   std::vector<double> warmup_per_s_;        // by service
   std::vector<std::vector<Share>> shares_;  // by service
--- a/src/news/exchange.cc
+++ b/src/news/exchange.cc
@@ -34,6 +34,7 @@
   digest.epoch = catalog_.epoch;
   digest.sequence = catalog_.sequence;
   digest.evacuation = orders_.version();
+  digest.rollouts = rollouts_.version();
   digest.catalog_age_ms = static_cast<int32_t>(std::min<base::Millis>(catalog_age(now), INT32_MAX));
   return digest;
 }
@@ -83,7 +84,7 @@
   pull_at_ = now + kPullGap;
   // Asking as one that has nothing brings the whole document.
   out_.pulls.push_back({from, Pull{whole_config ? 0 : revision_, catalog_.epoch, catalog_.sequence,
-                                   orders_.version(), exact_}});
+                                   orders_.version(), rollouts_.version(), exact_}});
 }
 
 void Exchange::OnDigest(base::Millis now, const base::Address& from, const Digest& digest) {
@@ -94,8 +95,11 @@
   }
   bool we_miss = digest.revision > revision_ || (digest.catalog_age_ms >= 0 && !has_catalog()) ||
                  digest.epoch > catalog_.epoch || digest.evacuation > orders_.version() ||
+                 digest.rollouts > rollouts_.version() ||
                  (digest.epoch == catalog_.epoch && digest.sequence > catalog_.sequence);
   bool told = false;
+  // Before the list: a node that knows of servers must know which of them it may send to.
+  if (digest.rollouts < rollouts_.version()) out_.rollouts.push_back({from, {rollouts_}});
   if (digest.revision < revision_) told |= !SendConfig(now, from, digest.revision, false);
   if (has_catalog() && catalog_.NewerThan(digest.epoch, digest.sequence)) {
     told |= !SendCatalog(now, from, digest.epoch, digest.sequence, true, false);
@@ -111,6 +115,7 @@
 }
 
 void Exchange::OnPull(base::Millis now, const base::Address& from, const Pull& pull) {
+  if (rollouts_.version() > pull.rollouts) out_.rollouts.push_back({from, {rollouts_}});
   if (revision_ > pull.revision) SendConfig(now, from, pull.revision, true);
   bool truer =
       exact_ && !pull.exact && pull.epoch == catalog_.epoch && pull.sequence == catalog_.sequence;
@@ -239,6 +244,9 @@
       case Topic::kEvacuation:
         out_.evacuations.push_back({node->address(), {orders_}});
         break;
+      case Topic::kRollouts:
+        out_.rollouts.push_back({node->address(), {rollouts_}});
+        break;
     }
     if (!sent) out_.digests.push_back({node->address(), announce});
   }
@@ -305,6 +313,31 @@
   Pass(now, Topic::kEvacuation, &from);
 }
 
+// Every controller tells its own zone; each of its nodes passes it on once.
+void Exchange::Commit(const rollout::Rollouts& rollouts) {
+  if (rollouts.version() <= rollouts_.version()) return;
+  rollouts_ = rollouts;
+  out_.rollouts_adopted = true;
+  for (const ring::Node* node : Neighbours()) {
+    if (node->program == ring::Program::kProxy) {
+      out_.rollouts.push_back({node->address(), {rollouts_}});
+    }
+  }
+}
+
+void Exchange::OnRollouts(base::Millis now, const base::Address& from, const RolloutNews& news) {
+  heard_at_ = now;
+  if (news.rollouts.version() <= rollouts_.version()) return;
+  rollouts_ = news.rollouts;
+  out_.rollouts_adopted = true;
+  Pass(now, Topic::kRollouts, &from);
+}
+
+void Exchange::OnRolloutVersion(base::Millis now, const base::Address& from, uint64_t version) {
+  heard_at_ = now;
+  if (version > rollouts_.version()) AskFor(now, from, false);
+}
+
 // Takes another list in place of this one, and remembers the step if both are exact.
 void Exchange::Replace(catalog::Catalog catalog, bool exact) {
   if (exact && exact_ && has_catalog()) {
--- a/src/news/exchange.h
+++ b/src/news/exchange.h
@@ -16,6 +16,7 @@
 #include "demand/demand.h"
 #include "evacuation/orders.h"
 #include "ring/membership.h"
+#include "rollout/rollouts.h"
 
 namespace elderkeel::news {
 
@@ -25,13 +26,14 @@
   uint64_t epoch = 0;
   uint64_t sequence = 0;
   uint64_t evacuation = 0;
+  uint64_t rollouts = 0;
   int32_t catalog_age_ms = -1;  // since the platform was last read for it; -1 for never
   bool answer = false;          // the sender would like the receiver's digest
   bool sure = false;            // sent, and to be answered, over a connection
   demand::Report demand;        // rides along; a proxy's alone
   template <class A>
   void serialize(A& a) {
-    a(revision, epoch, sequence, evacuation, catalog_age_ms, answer, sure, demand);
+    a(revision, epoch, sequence, evacuation, rollouts, catalog_age_ms, answer, sure, demand);
   }
 };
 
@@ -41,10 +43,11 @@
   uint64_t epoch = 0;
   uint64_t sequence = 0;
   uint64_t evacuation = 0;
+  uint64_t rollouts = 0;
   bool exact = false;  // the sender holds the list just as (epoch, sequence) names it
   template <class A>
   void serialize(A& a) {
-    a(revision, epoch, sequence, evacuation, exact);
+    a(revision, epoch, sequence, evacuation, rollouts, exact);
   }
 };
 
@@ -85,6 +88,15 @@
   }
 };
 
+// Which versions are in force and which roll-outs are under way, by the log's order.
+struct RolloutNews {
+  rollout::Rollouts rollouts;
+  template <class A>
+  void serialize(A& a) {
+    a(rollouts);
+  }
+};
+
 // How news reaches every node, as a pure state machine: a node passes what is new to it to a few
 // others, one for each zone that has no other source and some of its own zone, and mends what was
 // missed by comparing digests with a random peer. What is small is sent at once; what is large,
@@ -93,7 +105,7 @@
 // heard again. Within one life nothing older replaces anything newer.
 class Exchange {
  public:
-  enum class Topic : uint8_t { kConfiguration, kCatalog, kEvacuation };
+  enum class Topic : uint8_t { kConfiguration, kCatalog, kEvacuation, kRollouts };
   struct Options {
     uint64_t seed = 1;
     base::Millis digest_every = 400;
@@ -105,12 +117,15 @@
     std::vector<std::pair<base::Address, ConfigNews>> configs;
     std::vector<std::pair<base::Address, CatalogNews>> catalogs;
     std::vector<std::pair<base::Address, EvacuationNews>> evacuations;
+    std::vector<std::pair<base::Address, RolloutNews>> rollouts;
     bool config_adopted = false;
     bool catalog_adopted = false;
     bool evacuation_adopted = false;
+    bool rollouts_adopted = false;
     bool empty() const {
       return digests.empty() && pulls.empty() && configs.empty() && catalogs.empty() &&
-             evacuations.empty() && !config_adopted && !catalog_adopted && !evacuation_adopted;
+             evacuations.empty() && rollouts.empty() && !config_adopted && !catalog_adopted &&
+             !evacuation_adopted && !rollouts_adopted;
     }
   };
 
@@ -124,6 +139,9 @@
   void OnConfig(base::Millis now, const base::Address& from, const ConfigNews& news);
   void OnCatalog(base::Millis now, const base::Address& from, const CatalogNews& news);
   void OnEvacuation(base::Millis now, const base::Address& from, const EvacuationNews& news);
+  void OnRollouts(base::Millis now, const base::Address& from, const RolloutNews& news);
+  // A node that was heard has this version of the roll-outs; if that is newer, it is asked for it.
+  void OnRolloutVersion(base::Millis now, const base::Address& from, uint64_t version);
   // A node was heard for the first time, or again.
   void OnHeard(base::Millis now, const ring::Node& node);
   void OnLost(const ring::Node& node);
@@ -131,6 +149,7 @@
   // From the log, committed; only controllers call this.
   void Commit(base::Millis now, const configuration::Register& state);
   void Commit(const evacuation::Orders& orders);
+  void Commit(const rollout::Rollouts& rollouts);
   // From this node's own reading of the platform, as the holder of the duty.
   // Epoch 0 is a reading that no holder vouches for; it stays in the zone.
   // False if news of a later holder is here already: this one was replaced and does not know it
@@ -148,6 +167,7 @@
   const std::string& config_text() const { return text_; }
   const catalog::Catalog& catalog() const { return catalog_; }
   const evacuation::Orders& orders() const { return orders_; }
+  const rollout::Rollouts& rollouts() const { return rollouts_; }
   bool has_catalog() const { return read_at_ >= 0; }
   base::Millis catalog_age(base::Millis now) const { return read_at_ < 0 ? -1 : now - read_at_; }
 
@@ -186,6 +206,7 @@
   bool exact_ = false;
   std::deque<Step> history_;  // leads up to catalog_
   evacuation::Orders orders_;
+  rollout::Rollouts rollouts_;
   base::Millis read_at_ = -1;
   base::Millis digest_at_ = 0;
   base::Millis pull_at_ = 0;
--- a/src/news/fleet.cc
+++ b/src/news/fleet.cc
@@ -99,6 +99,14 @@
   exchange_.Commit(orders);
   Pump();
 }
+void Fleet::Commit(const rollout::Rollouts& rollouts) {
+  exchange_.Commit(rollouts);
+  Pump();
+}
+void Fleet::NoteRolloutVersion(const base::Address& from, uint64_t version) {
+  exchange_.OnRolloutVersion(base::SteadyMillis(), from, version);
+  Pump();
+}
 void Fleet::AskDigest(const base::Address& to) {
   Digest digest = exchange_.OwnDigest(base::SteadyMillis());
   digest.answer = true;
@@ -170,6 +178,9 @@
     case wire::Kind::kEvacuationNews:
       take(EvacuationNews(), [&](const auto& m) { exchange_.OnEvacuation(now, from, m); });
       break;
+    case wire::Kind::kRolloutNews:
+      take(RolloutNews(), [&](const auto& m) { exchange_.OnRollouts(now, from, m); });
+      break;
     case wire::Kind::kDigest:
       take(Digest(), [&](const auto& m) {
         // Levelling takes two: what is told back is what was here before the other's was heard.
@@ -245,9 +256,11 @@
     for (auto& [to, m] : ring.summaries) SendSmall(to, wire::Kind::kSummary, wire::Encode(m));
     for (auto& [to, m] : news.digests) SendDigest(to, std::move(m));
     for (auto& [to, m] : news.pulls) mesh_.Send(to, wire::Kind::kPull, m);
+    for (auto& [to, m] : news.rollouts) mesh_.Send(to, wire::Kind::kRolloutNews, m);
     for (auto& [to, m] : news.configs) mesh_.Send(to, wire::Kind::kConfigNews, m);
     for (auto& [to, m] : news.catalogs) mesh_.Send(to, wire::Kind::kCatalogNews, m);
     for (auto& [to, m] : news.evacuations) mesh_.Send(to, wire::Kind::kEvacuationNews, m);
+    if (news.rollouts_adopted && hooks_.rollouts_adopted) hooks_.rollouts_adopted();
     if (news.config_adopted && hooks_.config_adopted) hooks_.config_adopted();
     if (news.catalog_adopted && hooks_.catalog_adopted) hooks_.catalog_adopted();
     if (news.evacuation_adopted && hooks_.evacuation_adopted) hooks_.evacuation_adopted();
--- a/src/news/fleet.h
+++ b/src/news/fleet.h
@@ -17,6 +17,7 @@
     std::function<void()> config_adopted;
     std::function<void()> catalog_adopted;
     std::function<void()> evacuation_adopted;
+    std::function<void()> rollouts_adopted;
     std::function<void(const ring::Node&)> node_changed;
     // What digests carry of how busy the zones are.
     std::function<demand::Report()> demand_told;
@@ -36,6 +37,8 @@
   // Feeds the news; what it causes is sent at once.
   void Commit(const configuration::Register& state);
   void Commit(const evacuation::Orders& orders);
+  void Commit(const rollout::Rollouts& rollouts);
+  void NoteRolloutVersion(const base::Address& from, uint64_t version);
   bool Publish(catalog::Catalog catalog);
   void Confirm(uint64_t epoch);
   void AdoptOwnReading(std::vector<catalog::Server> servers);
@@ -43,6 +46,8 @@
   void AskDigest(const base::Address& to);
   // This proxy may be given clients, or may not.
   void SetReady(bool ready);
+  // By datagram where that holds it.
+  void SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes);
   // Controllers in sight, those of the own zone first, then the seeds.
   std::vector<base::Address> Controllers() const;
 
@@ -53,7 +58,6 @@
   void Tick();
   // Ticks when something is due next, not more often than needed: an idle node sleeps.
   void Schedule();
-  void SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes);
 
   base::Loop* loop_;
   const base::Settings& settings_;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -16,12 +16,17 @@
 constexpr base::Millis kConfirmEveryMs = 100;  // the core answers all proxies that just started
 constexpr base::Millis kHurryMs = 25;  // between looks at what is still missing after a start
 constexpr base::Millis kFirstCatalogMs = 1500;  // a node that has none asks for itself after this
+constexpr base::Millis kTallyEveryMs = 250;
+constexpr base::Millis kTouchEveryMs = 600;
 constexpr size_t kTelemetryFileBytes = 4u << 20;
 
 }  // namespace
 
 Proxy::Proxy(base::Loop* loop, base::Settings settings, std::string settings_path)
-    : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)) {
+    : loop_(loop),
+      settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      life_(base::SystemSeed() | 1) {
   readiness::Readiness::Options options;
   options.grace = settings_.grace_s * 1000;
   // Clients of a directory keep an answer up to three times as long as it says.
@@ -52,6 +57,11 @@
     front_->Adopt(fleet_->news().orders());
     base::Info("evacuation.adopted", {{"version", fleet_->news().orders().version()}});
   };
+  hooks.rollouts_adopted = [this] {
+    front_->Adopt(fleet_->news().rollouts());
+    tally_at_ = 0;
+    base::Info("rollouts.adopted", {{"version", fleet_->news().rollouts().version()}});
+  };
   hooks.demand_told = [this] { return front_->TellDemand(); };
   hooks.demand_heard = [this](const demand::Report& report) { front_->HearDemand(report); };
   hooks.node_changed = [this](const ring::Node&) { fleet_changed_ = true; };
@@ -152,6 +162,13 @@
     if (auto query = wire::Decode<diagnosis::Query>(payload)) Answer(from, *query);
     return;
   }
+  if (kind == wire::Kind::kTouch) {
+    if (auto touch = wire::Decode<rollout::Touch>(payload)) {
+      front_->Heard(*touch);
+      fleet_->NoteRolloutVersion(from, touch->version);
+    }
+    return;
+  }
   if (kind != wire::Kind::kConfirmReply) return;
   auto reply = wire::Decode<news::ConfirmReply>(payload);
   if (!reply || reply->nonce != nonce_) return;
@@ -183,7 +200,7 @@
   // What it lacks it asks of the first that says to have it: the whole of it is large, and must not
   // come from several at once.
   if (fleet_->news().revision() < std::max<int64_t>(1, wanted_revision_) ||
-      !fleet_->news().has_catalog()) {
+      !fleet_->news().has_catalog() || (settings_.VersionsByOrder() && !front_->versions_known())) {
     fleet_->AskDigest(to);
   }
 }
@@ -216,6 +233,26 @@
   });
 }
 
+void Proxy::TellWatchers(base::Millis now) {
+  if (!front_->rolling_out() || now < tally_at_) return;
+  // The watchers hear all proxies; with many, each speaks more seldom.
+  size_t proxies = fleet_->members().CountPossible(ring::Program::kProxy);
+  tally_at_ = now + std::max<base::Millis>(kTallyEveryMs, static_cast<base::Millis>(proxies));
+  bool ask = now >= ask_touch_at_;
+  if (ask) ask_touch_at_ = now + kTouchEveryMs;
+  for (forwarding::Front::Told& told : front_->TellTallies()) {
+    told.tally.node = fleet_->members().self().id;
+    told.tally.life = life_;
+    told.tally.asks = ask;
+    std::string bytes = wire::Encode(told.tally);
+    for (uint64_t watcher : told.watchers) {
+      auto node = fleet_->members().nodes().find(watcher);
+      if (node == fleet_->members().nodes().end()) continue;
+      fleet_->SendSmall(node->second.address(), wire::Kind::kTally, bytes);
+    }
+  }
+}
+
 // A node without a configuration or a list serves nobody: it looks and asks more often than later.
 void Proxy::Hurry() {
   if (front_->able() || readiness_.leaving()) return;
@@ -250,6 +287,7 @@
 void Proxy::Tick() {
   base::Millis now = base::SteadyMillis();
   TakePlace();
+  TellWatchers(now);
   fleet_->SetReady(readiness_.Ready(now));
   if (front_->able()) readiness_.Able(now);
   if (!readiness_.leaving()) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -34,6 +34,8 @@
   void Hurry();
   void AskConfirmation(base::Millis now);
   void ReadForItself(base::Millis now);
+  // Tells the watchers of roll-outs under way what this proxy counts.
+  void TellWatchers(base::Millis now);
   std::unique_ptr<telemetry::Sink> MakeSink();
 
   base::Loop* loop_;
@@ -56,6 +58,9 @@
   size_t next_controller_ = 0;
   int64_t wanted_revision_ = -1;  // what the core confirmed as current
   base::Millis read_at_ = 0;
+  base::Millis tally_at_ = 0;
+  base::Millis ask_touch_at_ = 0;
+  const uint64_t life_;
 };
 
 }  // namespace elderkeel::proxy
--- /dev/null
+++ b/src/rollout/conductor.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "rollout/messages.h"
+#include "rollout/rollouts.h"
+
+namespace elderkeel::rollout {
+
+// A node that may watch.
+struct Candidate {
+  uint64_t id = 0;
+  std::string zone;
+};
+// The watchers of a service's next roll-out: those that the ring names for it, from as many zones
+// as there are. `keep`: those of before that are still there.
+std::vector<uint64_t> NameWatchers(const std::string& service,
+                                   const std::vector<Candidate>& candidates,
+                                   const std::vector<uint64_t>& keep = {});
+
+// The leader's part: takes the votes and decides when a roll-out enters its next stage. Every
+// controller follows along, so that a new leader knows how old each order is. Pure.
+class Conductor {
+ public:
+  struct Options {
+    base::Millis fresh = 1300;     // a vote, for so long
+    base::Millis propose = 400;    // until the same step is proposed again
+    base::Millis revert = 1500;    // that `kReverting` may take
+    base::Millis overtime = 5000;  // past the term, until proxies that confirm nothing are left out
+  };
+  explicit Conductor(Options options) : options_(options) {}
+
+  // The state after each entry.
+  void Adopt(base::Millis now, const Rollouts& rollouts);
+  void OnVote(base::Millis now, const Vote& vote);
+  // What is to be proposed; asked of the leader alone.
+  std::vector<Step> Review(base::Millis now, const Rollouts& rollouts,
+                           const std::vector<Candidate>& candidates);
+
+  base::Millis Age(base::Millis now, const Rollout& rollout) const;
+  struct Told {
+    Vote vote;
+    base::Millis at = 0;
+  };
+  // By watcher; of the newest life of each.
+  const std::map<uint64_t, Told>& VotesOn(uint64_t number) const;
+
+  // How long before its term a roll-out moves its traffic at the latest. All that is sent after
+  // that to a version which then turns bad counts in full, so it is as late as the move allows.
+  static base::Millis MoveTime(base::Millis term);
+
+ private:
+  struct Known {
+    base::Millis since = 0;
+    Stage stage = Stage::kCanary;
+    base::Millis stage_at = 0;
+    std::map<uint64_t, Told> votes;
+    base::Millis proposed_at = -100000;
+    uint64_t proposed_version = 0;
+  };
+  struct Count {
+    size_t heard = 0, good = 0, bad = 0;
+    std::string why;        // of a vote that says bad, or of one that can't say good
+    bool moved = false;     // some watcher has heard it of every proxy
+    bool in_sight = false;  // or at least of every proxy in sight
+    std::string missing;
+  };
+  Count CountVotes(base::Millis now, const Rollout& rollout, const Known& known,
+                   uint64_t version) const;
+  // The next stage and why; the same stage if it is not time.
+  std::pair<Stage, std::string> Next(base::Millis now, const Rollout& rollout, const Known& known,
+                                     const Count& count) const;
+
+  Options options_;
+  std::map<uint64_t, Known> known_;  // by number
+};
+
+}  // namespace elderkeel::rollout
--- /dev/null
+++ b/src/rollout/messages.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace elderkeel::rollout {
+
+// What became of the sends to one version, on one route. Numbers only rise within a proxy's life,
+// so that telling them twice, or out of order, changes nothing.
+struct Counts {
+  uint32_t answers = 0;  // whole or not; what was turned away unrun is none
+  uint32_t failed = 0;   // failures of the server's own
+  uint32_t broken = 0;   // cut, garbled, of another request, or silent to the end
+  uint32_t late = 0;     // took longer than three times the route's mean
+  uint32_t timed = 0;    // answers whose time says something: not of a cold server
+  // Which servers, by a hash of their ids: a failure that one server alone shows is that server's.
+  uint64_t seen = 0;
+  uint64_t broken_at = 0;
+  uint64_t late_at = 0;
+
+  void Add(const Counts& o) {
+    answers += o.answers;
+    failed += o.failed;
+    broken += o.broken;
+    late += o.late;
+    timed += o.timed;
+    seen |= o.seen;
+    broken_at |= o.broken_at;
+    late_at |= o.late_at;
+  }
+  // What came on top of `before`, which was told by the same life.
+  Counts Since(const Counts& before) const;
+  template <class A>
+  void serialize(A& a) {
+    a(answers, failed, broken, late, timed, seen, broken_at, late_at);
+  }
+};
+
+struct Row {
+  uint32_t route = 0;  // RouteKey of its label
+  Counts old_version, new_version;
+  template <class A>
+  void serialize(A& a) {
+    a(route, old_version, new_version);
+  }
+};
+uint32_t RouteKey(const std::string& label);
+
+// A proxy's word to the watchers of one roll-out.
+struct Tally {
+  uint64_t node = 0;  // its id on the ring
+  uint64_t life = 0;
+  uint64_t number = 0;    // of the roll-out
+  uint64_t version = 0;   // of the state that it acts by
+  uint32_t age_ms = 0;    // since it knows of the order
+  uint32_t requests = 0;  // for the service since then
+  uint32_t exposed = 0;   // sends to the new version since then
+  uint32_t old_busy = 0;  // sends in flight at servers of the old version
+  uint32_t new_busy = 0;  // and of the new one
+  bool moved = false;     // sends nothing new to the version that the stage moves away from
+  bool asks = false;      // would like to be told the newest version of the state
+  std::vector<Row> rows;
+  template <class A>
+  void serialize(A& a) {
+    a(node, life, number, version, age_ms, requests, exposed, old_busy, new_busy, moved, asks,
+      rows);
+  }
+};
+
+// A watcher's answer to a tally, sent as long as the watcher itself hears a leader. A proxy that
+// gets none is out of touch and sends nothing to a version that is not proven.
+struct Touch {
+  uint64_t number = 0;
+  uint64_t version = 0;
+  template <class A>
+  void serialize(A& a) {
+    a(number, version);
+  }
+};
+
+enum class Opinion : uint8_t { kAbstains, kGood, kBad };
+const char* OpinionName(Opinion opinion);
+
+// What a watcher tells the leader.
+struct Vote {
+  uint64_t number = 0;
+  uint64_t watcher = 0;
+  uint64_t life = 0;
+  uint64_t version = 0;  // of the state that it watches by
+  Opinion opinion = Opinion::kAbstains;
+  std::string why;
+  uint32_t age_ms = 0;  // of the order, by the oldest knowledge of any proxy
+  uint32_t heard = 0;   // proxies whose word is fresh
+  uint32_t in_sight = 0;
+  uint64_t requests = 0;          // for the service, by all of them
+  uint64_t exposed = 0;           // sends to the new version
+  uint32_t unmoved = 0;           // proxies in sight that have not confirmed the stage's move
+  uint32_t unheard = 0;           // proxies held for lost that have not
+  std::vector<uint64_t> missing;  // some of both, by id
+  std::vector<Row> rows;          // the sums
+  template <class A>
+  void serialize(A& a) {
+    a(number, watcher, life, version, opinion, why, age_ms, heard, in_sight, requests, exposed,
+      unmoved, unheard, missing, rows);
+  }
+};
+
+}  // namespace elderkeel::rollout
--- /dev/null
+++ b/src/rollout/rollouts.cc
@@ -0,0 +1,152 @@
+#include "rollout/rollouts.h"
+
+#include <algorithm>
+
+namespace elderkeel::rollout {
+namespace {
+constexpr size_t kMaxServices = 4096;
+}  // namespace
+
+const char* StageName(Stage stage) {
+  switch (stage) {
+    case Stage::kCanary:
+      return "canary";
+    case Stage::kPromoting:
+      return "promoting";
+    case Stage::kCompleted:
+      return "completed";
+    case Stage::kReverting:
+      return "reverting";
+    case Stage::kReverted:
+      return "reverted";
+  }
+  return "unknown";
+}
+
+const char* StatusWord(Stage stage) {
+  return stage == Stage::kCompleted  ? "completed"
+         : stage == Stage::kReverted ? "reverted"
+                                     : "in_progress";
+}
+
+const Rollout* Rollouts::Of(const std::string& service) const {
+  auto at = rollouts_.find(service);
+  return at == rollouts_.end() ? nullptr : &at->second;
+}
+
+std::string Rollouts::InForce(const std::string& service) const {
+  auto at = in_force_.find(service);
+  return at == in_force_.end() ? "" : at->second;
+}
+
+bool Rollouts::Active() const {
+  return std::any_of(rollouts_.begin(), rollouts_.end(),
+                     [](const auto& r) { return !Ended(r.second.stage); });
+}
+
+Rollout* Rollouts::Find(uint64_t number) {
+  for (auto& [service, rollout] : rollouts_) {
+    if (rollout.number == number) return &rollout;
+  }
+  return nullptr;
+}
+
+// The same order again is a repeated call, also after it came to its end: callers that heard no
+// answer send it anew, and must not begin it anew.
+Rollouts::Verdict Rollouts::Judge(const Order& order) const {
+  const Rollout* known = Of(order.service);
+  if (known && known->order == order) return {200, ""};
+  if (known && !Ended(known->stage)) {
+    return {409, "a roll-out of " + known->order.version + " is under way"};
+  }
+  if (!known && rollouts_.size() >= kMaxServices) return {503, "too many services"};
+  return {};
+}
+
+bool Rollouts::Apply(const Step& step) {
+  bool changed = false;
+  switch (step.kind) {
+    case Step::Kind::kFound:
+      for (const auto& [service, version] : step.found) {
+        const Rollout* known = Of(service);
+        // An order that is under way says what is in force, unless it began without knowing.
+        if (known && !Ended(known->stage) && !InForce(service).empty()) continue;
+        if (in_force_.size() >= kMaxServices && !in_force_.count(service)) continue;
+        std::string& in_force = in_force_[service];
+        if (in_force == version) continue;
+        in_force = version;
+        changed = true;
+        if (known && !Ended(known->stage)) rollouts_[service].from = version;
+      }
+      break;
+    case Step::Kind::kOrder: {
+      if (Judge(step.order).status != 0) break;
+      Rollout next;
+      next.number = ++newest_number_;
+      next.order = step.order;
+      next.from = InForce(step.order.service);
+      next.watchers = step.watchers;
+      next.reason = "ordered";
+      if (next.from == step.order.version) {
+        next.stage = Stage::kCompleted;
+        next.reason = "was in force already";
+      }
+      rollouts_[step.order.service] = std::move(next);
+      changed = true;
+      break;
+    }
+    case Step::Kind::kStage: {
+      Rollout* rollout = Find(step.number);
+      if (!rollout || Ended(rollout->stage)) break;
+      // Traffic that has moved back never moves forth again under the same order.
+      if (rollout->stage == Stage::kReverting && step.stage != Stage::kReverted) break;
+      if (rollout->stage == step.stage || step.stage == Stage::kCanary) break;
+      if (step.stage == Stage::kCompleted && rollout->stage != Stage::kPromoting) break;
+      rollout->stage = step.stage;
+      rollout->reason = step.reason;
+      rollout->elapsed_ms = step.elapsed_ms;
+      if (step.stage == Stage::kCompleted) {
+        in_force_[rollout->order.service] = rollout->order.version;
+      }
+      changed = true;
+      break;
+    }
+    case Step::Kind::kWatchers: {
+      Rollout* rollout = Find(step.number);
+      if (!rollout || Ended(rollout->stage) || rollout->watchers == step.watchers) break;
+      rollout->watchers = step.watchers;
+      changed = true;
+      break;
+    }
+  }
+  if (changed) ++version_;
+  return changed;
+}
+
+std::vector<std::pair<std::string, std::string>> FindVersions(const Rollouts& state,
+                                                              const catalog::Catalog& catalog) {
+  std::map<std::string, std::map<std::string, int>> counts;
+  for (const catalog::Server& server : catalog.servers) {
+    if (!server.draining && !server.revision.empty()) ++counts[server.service][server.revision];
+  }
+  std::vector<std::pair<std::string, std::string>> found;
+  for (const auto& [service, versions] : counts) {
+    std::string known = state.InForce(service);
+    if (!known.empty() && versions.count(known)) continue;
+    const Rollout* rollout = state.Of(service);
+    bool active = rollout && !Ended(rollout->stage);
+    // While an order is under way it alone decides, also when the old version's servers are gone.
+    if (active && !known.empty()) continue;
+    const std::pair<const std::string, int>* best = nullptr;
+    for (const auto& entry : versions) {
+      if (rollout && rollout->stage != Stage::kCompleted && rollout->order.version == entry.first) {
+        continue;
+      }
+      if (!best || entry.second > best->second) best = &entry;
+    }
+    if (best) found.push_back({service, best->first});
+  }
+  return found;
+}
+
+}  // namespace elderkeel::rollout
--- /dev/null
+++ b/src/rollout/watcher.cc
@@ -0,0 +1,226 @@
+#include "rollout/watcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace elderkeel::rollout {
+namespace {
+
+constexpr double kBad = 9;      // the sum at which a version is called bad
+constexpr double kDoubt = 3.5;  // and the one from which on it is not called good
+constexpr double kPrior = 25;   // answers that the rates supposed in order count as
+constexpr double kMemory = 600;
+constexpr double kFewAnswers = 12;  // below these, nothing is called good
+// A route that should have had so many answers of the new version must have had half of them. Those
+// that are asked for less often are judged together.
+constexpr double kOwnRoute = 20;
+
+// Rates that are in order whatever the old version shows, and how much more is looked for.
+struct Rate {
+  double floor;
+  double more;
+  double allowance;  // times the old version's own rate
+};
+constexpr Rate kFailedRate{0.01, 0.08, 1.5};
+constexpr Rate kBrokenRate{0.03, 0.10, 1.5};
+// The few servers of a canary may all be of the slower ones.
+constexpr Rate kLateRate{0.08, 0.12, 2.5};
+
+int Bits(uint64_t bits) { return __builtin_popcountll(bits); }
+
+// Trouble of single servers is no trouble of the version: at least two must show it, and half of
+// those that were asked.
+bool Widespread(uint64_t at, uint64_t seen) {
+  return Bits(seen) < 2 || (Bits(at) >= 2 && Bits(at) * 2 >= Bits(seen));
+}
+
+std::string Percent(double part, double whole) {
+  return std::to_string(static_cast<int>(whole > 0 ? 100 * part / whole + 0.5 : 0)) + "%";
+}
+
+}  // namespace
+
+void ChangeTest::Take(uint32_t all, uint32_t yes, double before, double after) {
+  if (all == 0) return;
+  yes = std::min(yes, all);
+  double gain = yes * std::log(after / before) + (all - yes) * std::log((1 - after) / (1 - before));
+  sum_ = std::max(0.0, sum_ + gain);
+}
+
+void Comparison::Lately::Take(const Counts& more) {
+  answers += more.answers;
+  failed += more.failed;
+  broken += more.broken;
+  timed += more.timed;
+  late += more.late;
+  if (answers < kMemory) return;
+  for (double* part : {&answers, &failed, &broken, &timed, &late}) *part /= 2;
+}
+
+void Comparison::Test(Route* route, const Row& more, const std::string& name) {
+  route->sums.old_version.Add(more.old_version);
+  route->sums.new_version.Add(more.new_version);
+  route->old_version.Take(more.old_version);
+  const Lately& old = route->old_version;
+  const Counts& now = more.new_version;
+  const Counts& sum = route->sums.new_version;
+  auto test = [&](ChangeTest* change, uint32_t all, uint32_t yes, double old_all, double old_yes,
+                  const Rate& rate) {
+    double usual = (old_yes + kPrior * rate.floor / rate.allowance) / (old_all + kPrior);
+    double before = std::min(0.6, std::max(rate.floor, rate.allowance * usual));
+    change->Take(all, yes, before, std::min(0.95, 2 * before + rate.more));
+  };
+  test(&route->failed, now.answers, now.failed, old.answers, old.failed, kFailedRate);
+  test(&route->broken, now.answers, now.broken, old.answers, old.broken, kBrokenRate);
+  test(&route->late, now.timed, now.late, old.timed, old.late, kLateRate);
+  if (!bad_.empty()) return;
+  auto convict = [&](const char* what, uint32_t yes, uint32_t all, double old_yes, double old_all) {
+    bad_ = name + ": " + std::to_string(yes) + " of " + std::to_string(all) + " " + what +
+           ", of the old version's " + Percent(old_yes, old_all);
+  };
+  if (route->failed.sum() >= kBad) {
+    convict("failed", sum.failed, sum.answers, old.failed, old.answers);
+  } else if (route->broken.sum() >= kBad && Widespread(sum.broken_at, sum.seen)) {
+    convict("were broken off", sum.broken, sum.answers, old.broken, old.answers);
+  } else if (route->late.sum() >= kBad && Widespread(sum.late_at, sum.seen)) {
+    convict("came late", sum.late, sum.timed, old.late, old.timed);
+  }
+}
+
+void Comparison::Take(const Row& more) {
+  Route& route = routes_[more.route];
+  route.sums.route = more.route;
+  Test(&route, more, "route " + std::to_string(more.route));
+  Test(&all_, more, "all routes");
+}
+
+std::string Comparison::Missing(double canary_share) const {
+  const Counts& sum = all_.sums.new_version;
+  if (sum.answers < kFewAnswers) return "too few answers";
+  if (sum.timed < kFewAnswers) return "too few answers of servers that are warm";
+  auto doubtful = [](const Route& r) {
+    return r.failed.sum() >= kDoubt || r.broken.sum() >= kDoubt || r.late.sum() >= kDoubt;
+  };
+  if (doubtful(all_)) return "a doubt";
+  for (const auto& [key, route] : routes_) {
+    if (doubtful(route)) return "a doubt on route " + std::to_string(key);
+    double expected = route.sums.old_version.answers * canary_share;
+    if (expected >= kOwnRoute && route.sums.new_version.answers < kOwnRoute / 2) {
+      return "too few answers on route " + std::to_string(key);
+    }
+  }
+  return "";
+}
+
+std::vector<Row> Comparison::Sums() const {
+  std::vector<Row> rows;
+  for (const auto& [key, route] : routes_) rows.push_back(route.sums);
+  return rows;
+}
+
+void Watcher::Adopt(const Rollouts& rollouts) {
+  version_ = rollouts.version();
+  std::map<uint64_t, Watch> watches;
+  for (const auto& [service, rollout] : rollouts.rollouts()) {
+    if (Ended(rollout.stage)) continue;
+    const auto& named = rollout.watchers;
+    if (std::find(named.begin(), named.end(), options_.self) == named.end()) continue;
+    auto before = watches_.find(rollout.number);
+    Watch& watch = watches[rollout.number];
+    if (before != watches_.end()) watch = std::move(before->second);
+    watch.rollout = rollout;
+  }
+  watches_ = std::move(watches);
+}
+
+bool Watcher::OnTally(base::Millis now, const Tally& tally) {
+  auto at = watches_.find(tally.number);
+  if (at == watches_.end()) return false;
+  Watch& watch = at->second;
+  Heard& heard = watch.proxies[tally.node];
+  bool same_life = heard.tally.life == tally.life;
+  // Datagrams overtake each other; an older word says nothing new.
+  if (same_life && (tally.age_ms < heard.tally.age_ms || tally.version < heard.tally.version)) {
+    return true;
+  }
+  std::map<uint32_t, Row> before;
+  if (same_life) {
+    for (const Row& row : heard.tally.rows) before[row.route] = row;
+  }
+  for (const Row& row : tally.rows) {
+    Row more;
+    more.route = row.route;
+    more.old_version = row.old_version.Since(before[row.route].old_version);
+    more.new_version = row.new_version.Since(before[row.route].new_version);
+    if (more.old_version.answers + more.new_version.answers > 0) watch.comparison.Take(more);
+  }
+  watch.requests +=
+      tally.requests - (same_life ? std::min(tally.requests, heard.tally.requests) : 0);
+  watch.exposed += tally.exposed - (same_life ? std::min(tally.exposed, heard.tally.exposed) : 0);
+  heard = {tally, now};
+  return true;
+}
+
+Vote Watcher::Judge(base::Millis now, const Watch& watch,
+                    const std::vector<InSight>& proxies) const {
+  Vote vote;
+  vote.number = watch.rollout.number;
+  vote.watcher = options_.self;
+  vote.life = options_.life;
+  vote.version = version_;
+  vote.requests = watch.requests;
+  vote.exposed = watch.exposed;
+  for (const auto& [id, heard] : watch.proxies) {
+    vote.age_ms =
+        std::max(vote.age_ms, static_cast<uint32_t>(heard.tally.age_ms + (now - heard.at)));
+  }
+  for (const InSight& proxy : proxies) {
+    vote.in_sight += proxy.reachable;
+    auto at = watch.proxies.find(proxy.id);
+    bool heard = at != watch.proxies.end() && now - at->second.at < options_.fresh;
+    vote.heard += heard && proxy.reachable;
+    bool confirmed = false;
+    if (heard && at->second.tally.version >= version_) {
+      const Tally& t = at->second.tally;
+      confirmed = watch.rollout.stage == Stage::kPromoting   ? t.moved && t.old_busy == 0
+                  : watch.rollout.stage == Stage::kReverting ? t.new_busy == 0
+                                                             : true;
+    }
+    if (confirmed) continue;
+    // One that answers is in sight, whatever the ring says of it.
+    ++(proxy.reachable || heard ? vote.unmoved : vote.unheard);
+    if (vote.missing.size() < 8) vote.missing.push_back(proxy.id);
+  }
+  vote.rows = watch.comparison.Sums();
+  if (now - awake_at_ < options_.gap) {
+    vote.why = "has only just woken";
+  } else if (!watch.comparison.bad().empty()) {
+    vote.opinion = Opinion::kBad;
+    vote.why = watch.comparison.bad();
+  } else if (vote.heard * 2 < vote.in_sight || vote.in_sight == 0) {
+    vote.why = "hears too few proxies";
+  } else {
+    vote.why = watch.comparison.Missing(options_.canary_share);
+    if (vote.why.empty()) vote.opinion = Opinion::kGood;
+  }
+  return vote;
+}
+
+std::vector<Vote> Watcher::Tick(base::Millis now, const std::vector<InSight>& proxies) {
+  if (ticked_at_ != 0 && now - ticked_at_ > options_.gap) awake_at_ = now;
+  ticked_at_ = now;
+  std::vector<Vote> votes;
+  for (auto& [number, watch] : watches_) {
+    Vote vote = Judge(now, watch, proxies);
+    bool changed = vote.opinion != watch.told.opinion || vote.version != watch.told.version ||
+                   (vote.unmoved == 0) != (watch.told.unmoved == 0) ||
+                   (vote.unheard == 0) != (watch.told.unheard == 0);
+    if (!changed && now - watch.told_at < options_.vote_every) continue;
+    watch.told = vote;
+    watch.told_at = now;
+    votes.push_back(std::move(vote));
+  }
+  return votes;
+}
+
+}  // namespace elderkeel::rollout
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -32,6 +32,10 @@
   kSummary,
   kEvacuationNews,
   kSums,
+  kRolloutNews,
+  kTally,
+  kTouch,
+  kVote,
 };
 
 constexpr size_t kMaxFrame = 8u << 20;
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -174,18 +174,24 @@
     orders_.push_back(order);
     return proposed_.size() + orders_.size();
   }
+  std::optional<uint64_t> Propose(const rollout::Order& order) override {
+    rollouts_.push_back(order);
+    return proposed_.size() + orders_.size() + rollouts_.size();
+  }
   bool HasZone(const std::string& zone) const override { return zone == "a" || zone == "b"; }
+  bool HasService(const std::string& service) const override { return service == "s"; }
   bool settled_ = true, leading_ = true;
   std::optional<std::string> leader_;
   std::vector<uint64_t> reads_;
   std::vector<Change> proposed_;
   std::vector<evacuation::Order> orders_;
+  std::vector<rollout::Order> rollouts_;
 };
 
 class OperatorApiTest : public ::testing::Test {
  protected:
   OperatorApiTest()
-      : api_(&log_, &state_, &orders_,
+      : api_(&log_, &state_, &orders_, &rollouts_,
              [this](uint64_t ticket, const wire::Message& answer) { answers_[ticket] = answer; }) {}
   wire::Message Call(const std::string& method, const std::string& match, const std::string& body) {
     wire::Message request;
@@ -209,6 +215,7 @@
   FakeLog log_;
   Register state_;
   evacuation::Orders orders_;
+  rollout::Rollouts rollouts_;
   std::map<uint64_t, wire::Message> answers_;
   OperatorApi api_;
 };
@@ -341,6 +348,83 @@
   }
 }
 
+TEST_F(OperatorApiTest, TakesOrdersOfRollOutsByTheLog) {
+  uint64_t ticket = 0;
+  auto call = [&](const char* method, const std::string& path, const std::string& body) {
+    wire::Message request;
+    request.method = method;
+    request.target = path;
+    request.body = body;
+    EXPECT_TRUE(OperatorApi::Owns(request.Path())) << path;
+    api_.OnRequest(0, ++ticket, request);
+    ConfirmReads();
+    return StatusOf(ticket);
+  };
+  const std::string post = "/elderkeel/rollouts", get = post + "/s";
+  auto order = [](const char* service, const char* version, const char* over) {
+    return std::string(R"({"target":")") + service + R"(","target-revision":")" + version +
+           R"(","over-s":)" + over + "}";
+  };
+  struct Case {
+    const char* method;
+    std::string path, body;
+    int status;
+  };
+  const std::string long_name(300, 'x');
+  for (const Case& c : std::vector<Case>{
+           {"GET", get, "", 404},
+           {"POST", post, "", 400},
+           {"POST", post, "[]", 400},
+           {"POST", post, "{\"target\":", 400},
+           {"POST", post, R"({"target":"s","over-s":12})", 400},
+           {"POST", post, R"({"target":7,"target-revision":"v2","over-s":12})", 400},
+           {"POST", post, order("s", "", "12"), 400},
+           {"POST", post, order("s", "v2", "\"12\""), 400},
+           {"POST", post, order("s", "v2", "0"), 400},
+           {"POST", post, order("s", "v2", "-1"), 400},
+           {"POST", post, order("s", "v2", "1e9"), 400},
+           {"POST", post, order(long_name.c_str(), "v2", "12"), 400},
+           {"POST", post, order("s", "v2", "12") + std::string(5000, ' '), 400},
+           {"POST", post, order("t", "v2", "12"), 404},
+           {"POST", get, order("s", "v2", "12"), 405},
+           {"GET", post, "", 405},
+           {"DELETE", get, "", 405},
+       }) {
+    EXPECT_EQ(call(c.method, c.path, c.body), c.status) << c.method << c.path << c.body;
+  }
+  EXPECT_TRUE(log_.rollouts_.empty());
+  EXPECT_EQ(rollouts_.version(), 0u);
+  auto commit = [&](rollout::Step step) {
+    rollouts_.Apply(step);
+    api_.Applied(0, log_.rollouts_.size());
+  };
+  rollout::Step ordered;
+  ordered.kind = rollout::Step::Kind::kOrder;
+  EXPECT_EQ(call("POST", post, order("s", "v2", "12.5")), 0);  // not before it is committed
+  ASSERT_EQ(log_.rollouts_.size(), 1u);
+  ordered.order = log_.rollouts_[0];
+  EXPECT_EQ(ordered.order.over_ms, 12500);
+  commit(ordered);
+  EXPECT_EQ(StatusOf(ticket), 200);
+  EXPECT_EQ(call("POST", post, order("s", "v2", "12.5")), 200);  // the same again
+  EXPECT_EQ(call("POST", post, order("s", "v3", "12.5")), 409);
+  EXPECT_EQ(call("GET", get, ""), 200);
+  EXPECT_EQ(answers_[ticket].body, R"({"status":"in_progress","target-revision":"v2"})");
+  rollout::Step ended;
+  ended.kind = rollout::Step::Kind::kStage;
+  ended.number = 1;
+  ended.stage = rollout::Stage::kReverted;
+  commit(ended);
+  EXPECT_EQ(call("GET", get, ""), 200);
+  EXPECT_EQ(answers_[ticket].body, R"({"status":"reverted","target-revision":"v2"})");
+  EXPECT_EQ(call("POST", post, order("s", "v2", "12.5")), 200);  // a call that was late
+  EXPECT_EQ(log_.rollouts_.size(), 1u);
+  EXPECT_EQ(call("POST", post, order("s", "v3", "12.5")), 0);
+  EXPECT_EQ(log_.rollouts_.size(), 2u);
+  log_.leading_ = false;
+  EXPECT_EQ(call("GET", get, ""), 503);
+}
+
 TEST(ControlState, SnapshotsKeepAllOfItAndThoseOfBeforeAreRead) {
   controller::ControlState state;
   state.Apply(controller::MakeCommand(controller::Command::Kind::kConfiguration,
@@ -348,11 +432,30 @@
   state.Apply(controller::MakeCommand(controller::Command::Kind::kDuty, duty::Duty{5, 6, 7}));
   state.Apply(controller::MakeCommand(controller::Command::Kind::kEvacuation,
                                       evacuation::Order{"a", true}));
+  rollout::Step step;
+  step.kind = rollout::Step::Kind::kOrder;
+  step.order = {"s", "v2", 12000};
+  step.watchers = {3, 4};
+  state.Apply(controller::MakeCommand(controller::Command::Kind::kRollout, step));
+  step.kind = rollout::Step::Kind::kFound;
+  step.found = {{"s", "v1"}, {"t", "v5"}};
+  state.Apply(controller::MakeCommand(controller::Command::Kind::kRollout, step));
   auto read = controller::ControlState::Read(wire::Encode(state));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->configuration.revision(), 2);
   EXPECT_EQ(read->duty.epoch, 7u);
   EXPECT_TRUE(read->orders.Evacuated("a"));
+  ASSERT_TRUE(read->rollouts.Of("s"));
+  EXPECT_EQ(read->rollouts.Of("s")->from, "v1");
+  EXPECT_EQ(read->rollouts.Of("s")->watchers, (std::vector<uint64_t>{3, 4}));
+  EXPECT_EQ(read->rollouts.InForce("t"), "v5");
+  EXPECT_EQ(read->rollouts.version(), 2u);
+  // Before there were roll-outs a snapshot ended with the evacuations.
+  read = controller::ControlState::Read(wire::Encode(state.configuration) +
+                                        wire::Encode(state.duty) + wire::Encode(state.orders));
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->orders.Evacuated("a"));
+  EXPECT_EQ(read->rollouts.version(), 0u);
   // Before there were evacuations a snapshot ended with the duty.
   read =
       controller::ControlState::Read(wire::Encode(state.configuration) + wire::Encode(state.duty));
