Roll-outs: controller rollout, status, version of failures; who is not heard is waited for until the bound

Cause: a core machine was cut from the other core machines, its proxy was seen alive by its zone, and its word reached no watcher; it counted as one that still moves. Now what counts is whether its word comes.

--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -255,6 +255,19 @@
   return {Write(d), Refusal{0, ""}};
 }
 
+std::vector<std::string> RouteLabels(std::string_view text) {
+  std::vector<std::string> labels;
+  Document d;
+  if (!ReadInto(text, &d) || !d.HasMember("route-list") || !d["route-list"].IsArray())
+    return labels;
+  for (const Value& route : d["route-list"].GetArray()) {
+    if (route.IsObject() && route.HasMember("label") && route["label"].IsString()) {
+      labels.push_back(route["label"].GetString());
+    }
+  }
+  return labels;
+}
+
 bool HasService(std::string_view text, const std::string& label) {
   Document d;
   if (!ReadInto(text, &d)) return false;
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -25,6 +25,8 @@
 int64_t RevisionOf(std::string_view text);
 // Whether a readable document lists such a service.
 bool HasService(std::string_view text, const std::string& label);
+// The labels of all routes of a readable document.
+std::vector<std::string> RouteLabels(std::string_view text);
 // Checks everything but how it stands to the current one; empty reason when it is valid.
 Refusal CheckValid(std::string_view text);
 // The document that a PATCH makes of `base`; both must be readable.
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -256,6 +256,8 @@
       return;
     }
     operator_->OnRequest(now, ticket, request);
+  } else if (request.Path() == "/elderkeel/rollout-report") {
+    AnswerRollouts(ticket, request);
   } else if (request.Path() == "/elderkeel/status") {
     if (request.method == "GET") {
       diagnosis::Question how;
@@ -480,7 +482,13 @@
 
 void Controller::ReviewRollouts(base::Millis now) {
   if (!settled() || !settings_.VersionsByOrder()) return;
-  for (const rollout::Step& step : conductor_.Review(now, state_.rollouts, Watchers())) {
+  for (rollout::Step step : conductor_.Review(now, state_.rollouts, Watchers())) {
+    // Watchers know routes by their keys alone; who reads the reason knows them by their labels.
+    for (const std::string& label : configuration::RouteLabels(state_.configuration.text())) {
+      std::string key = "route " + std::to_string(rollout::RouteKey(label)) + ":";
+      size_t at = step.reason.find(key);
+      if (at != std::string::npos) step.reason.replace(at, key.size(), "route " + label + ":");
+    }
     replica_->Propose(MakeCommand(Command::Kind::kRollout, step));
   }
   const catalog::Catalog& catalog = fleet_->news().catalog();
@@ -690,6 +698,133 @@
   }
 }
 
+// The leader has the votes; another controller sends on to it, or without one tells what its own
+// log has.
+void Controller::AnswerRollouts(wire::HttpServer::Ticket ticket, const wire::Message& request) {
+  if (request.method != "GET") {
+    control_->Answer(ticket, wire::OwnAnswer(405, "GET only"));
+    return;
+  }
+  if (Idle()) return SendOn(ticket, request.target);
+  auto leader = replica_->started() ? leader_control() : std::nullopt;
+  if (!leading() && leader && HearsLeader(base::SteadyMillis())) {
+    wire::Message answer = wire::OwnAnswer(307, "the leader is elsewhere");
+    answer.headers.push_back({"Location", "http://" + *leader + request.target});
+    control_->Answer(ticket, answer);
+    return;
+  }
+  size_t query = request.target.find("?service=");
+  wire::Message answer;
+  answer.status = 200;
+  answer.headers.push_back({"Content-Type", "application/json"});
+  answer.body = RolloutsJson(
+      query == std::string::npos ? "" : std::string_view(request.target).substr(query + 9));
+  if (answer.body.empty()) answer = wire::OwnAnswer(404, "no roll-out of this service was ordered");
+  control_->Answer(ticket, answer);
+}
+
+std::string Controller::RolloutsJson(std::string_view service) const {
+  base::Millis now = base::SteadyMillis();
+  const rollout::Rollouts& state = state_.rollouts;
+  if (!service.empty() && !state.Of(std::string(service))) return "";
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+  auto text = [&](const char* key, const std::string& value) {
+    w.Key(key);
+    w.String(value.c_str());
+  };
+  auto number = [&](const char* key, int64_t value) {
+    w.Key(key);
+    w.Int64(value);
+  };
+  auto address = [&](uint64_t id) {
+    auto at = fleet_->members().nodes().find(id);
+    return at == fleet_->members().nodes().end() ? "unknown" : at->second.address().ToString();
+  };
+  std::map<uint32_t, std::string> labels;
+  for (const std::string& label : configuration::RouteLabels(state_.configuration.text())) {
+    labels[rollout::RouteKey(label)] = label;
+  }
+  auto counts = [&](const char* key, const rollout::Counts& c) {
+    w.Key(key);
+    w.StartObject();
+    number("answers", c.answers);
+    number("failed", c.failed);
+    number("broken-off", c.broken);
+    number("timed", c.timed);
+    number("late", c.late);
+    w.EndObject();
+  };
+  w.StartObject();
+  text("node", settings_.node_name);
+  w.Key("settled");
+  w.Bool(leading() && settled());
+  w.Key("by-order");
+  w.Bool(settings_.VersionsByOrder());
+  w.Key("in-force");
+  w.StartObject();
+  for (const auto& [name, version] : state.in_force()) {
+    if (service.empty() || name == service) text(name.c_str(), version);
+  }
+  w.EndObject();
+  w.Key("rollouts");
+  w.StartArray();
+  for (const auto& [name, rollout] : state.rollouts()) {
+    if (!service.empty() && name != service) continue;
+    bool ended = rollout::Ended(rollout.stage);
+    w.StartObject();
+    text("service", name);
+    text("version", rollout.order.version);
+    text("from", rollout.from.empty() ? "unknown" : rollout.from);
+    text("status", rollout::StatusWord(rollout.stage));
+    text("stage", rollout::StageName(rollout.stage));
+    text("reason", rollout.reason);
+    number("number", static_cast<int64_t>(rollout.number));
+    number("over-ms", rollout.order.over_ms);
+    number("elapsed-ms", ended ? rollout.elapsed_ms : conductor_.Age(now, rollout));
+    w.Key("watchers");
+    w.StartArray();
+    for (uint64_t watcher : rollout.watchers) {
+      w.StartObject();
+      text("address", address(watcher));
+      auto told = conductor_.VotesOn(rollout.number).find(watcher);
+      bool known = told != conductor_.VotesOn(rollout.number).end();
+      text("vote", known ? rollout::OpinionName(told->second.vote.opinion) : "unknown");
+      if (known) {
+        const rollout::Vote& vote = told->second.vote;
+        number("ago-ms", now - told->second.at);
+        text("why", vote.why);
+        number("proxies-heard", vote.heard);
+        number("proxies-in-sight", vote.in_sight);
+        number("requests", static_cast<int64_t>(vote.requests));
+        number("sent-to-new", static_cast<int64_t>(vote.exposed));
+        number("not-confirmed", vote.unmoved);
+        number("not-heard", vote.unheard);
+        w.Key("missing");
+        w.StartArray();
+        for (uint64_t id : vote.missing) w.String(address(id).c_str());
+        w.EndArray();
+        w.Key("routes");
+        w.StartArray();
+        for (const rollout::Row& row : vote.rows) {
+          w.StartObject();
+          text("route", labels.count(row.route) ? labels[row.route] : std::to_string(row.route));
+          counts("old", row.old_version);
+          counts("new", row.new_version);
+          w.EndObject();
+        }
+        w.EndArray();
+      }
+      w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+  }
+  w.EndArray();
+  w.EndObject();
+  return std::string(buffer.GetString(), buffer.GetSize());
+}
+
 std::string Controller::StatusJson(const diagnosis::Inquiry& nodes) const {
   base::Millis now = base::SteadyMillis();
   const consensus::Machine& m = replica_->machine();
@@ -738,6 +873,17 @@
   for (const std::string& zone : fleet_->news().orders().zones()) w.String(zone.c_str());
   w.EndArray();
   w.EndObject();
+  w.Key("rollouts");
+  w.StartArray();
+  for (const auto& [service, rollout] : state_.rollouts.rollouts()) {
+    w.StartObject();
+    text("service", service);
+    text("version", rollout.order.version);
+    text("stage", rollout::StageName(rollout.stage));
+    text("reason", rollout.reason);
+    w.EndObject();
+  }
+  w.EndArray();
   w.Key("duty");
   w.StartObject();
   number("epoch", static_cast<int64_t>(state_.duty.epoch));
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -87,6 +87,9 @@
   void FinishInquiries(base::Millis now);
   void Ask(wire::HttpServer::Ticket ticket, const diagnosis::Question& question);
   std::string StatusJson(const diagnosis::Inquiry& nodes) const;
+  // What is known of the roll-outs, or of one service's; empty if that has none.
+  std::string RolloutsJson(std::string_view service) const;
+  void AnswerRollouts(wire::HttpServer::Ticket ticket, const wire::Message& request);
   void Note(std::string what, std::string detail);
 
   base::Loop* loop_;
--- a/src/controller/main.cc
+++ b/src/controller/main.cc
@@ -55,6 +55,11 @@
   about->add_option("--server", server, "A server, by its id");
   about->add_option("--revision", revision, "A version of the configuration");
   about->require_option(1);
+  CLI::App* rollout =
+      app.add_subcommand("rollout", "Show the roll-outs of versions, their votes and evidence");
+  asks(rollout);
+  std::string service;
+  rollout->add_option("service", service, "Only this service's");
   CLI::App* failures =
       app.add_subcommand("failures", "Show which requests failed, from the records of all proxies");
   asks(failures);
@@ -75,7 +80,7 @@
     return code == 0 ? 0 : 2;
   }
   if (run->parsed()) return base::RunProcess<controller::Controller>(settings);
-  if (status->parsed() || diagnose->parsed() || failures->parsed()) {
+  if (status->parsed() || diagnose->parsed() || failures->parsed() || rollout->parsed()) {
     base::Result<base::Address> address = base::Error{};
     if (!control.empty()) {
       address = base::ParseAddress(control);
@@ -92,6 +97,7 @@
       return diagnosis::kUsage;
     }
     if (status->parsed()) return diagnosis::ShowStatus(*address, json);
+    if (rollout->parsed()) return diagnosis::ShowRollouts(*address, service, json);
     if (failures->parsed()) {
       std::string query;
       auto add = [&](const char* key, const std::string& value) {
--- a/src/diagnosis/console.cc
+++ b/src/diagnosis/console.cc
@@ -13,7 +13,9 @@
 
 constexpr base::Millis kTimeoutMs = 3000;
 
-base::Result<std::string> Get(const base::Address& control, const std::string& target) {
+// `hops`: how often a controller may send the call on to another.
+base::Result<std::string> Get(const base::Address& control, const std::string& target,
+                              int hops = 2) {
   base::Loop loop;
   wire::Limits limits;
   limits.header_bytes = 64 << 10;
@@ -30,6 +32,15 @@
   if (result.ending != wire::HttpConnection::Ending::kAnswer) {
     return base::Error{"call", control.ToString(), result.reason};
   }
+  if (const std::string* location = result.answer.Find("Location");
+      result.answer.status == 307 && location && hops > 0) {
+    // http://ADDRESS/TARGET
+    size_t begin = location->find("://"), end = location->find('/', begin + 3);
+    if (begin != std::string::npos && end != std::string::npos) {
+      auto next = base::ParseAddress(location->substr(begin + 3, end - begin - 3));
+      if (next) return Get(*next, target, hops - 1);
+    }
+  }
   if (result.answer.status != 200) {
     return base::Error{"call", control.ToString(),
                        "status " + std::to_string(result.answer.status) + " " + result.answer.body};
@@ -52,7 +63,7 @@
   auto body = Get(control, target);
   if (!body) {
     std::cerr << "no answer: " << body.error().ToString() << "\n";
-    return kUnreachable;
+    return body.error().reason.rfind("status 404", 0) == 0 ? kDegraded : kUnreachable;
   }
   bool degraded = false;
   std::string text = render(*body, &degraded);
@@ -96,6 +107,12 @@
     }
     line("evacuated   " + (zones.empty() ? std::string("no zone") : zones));
   }
+  if (d.HasMember("rollouts") && d["rollouts"].IsArray()) {
+    for (const auto& r : d["rollouts"].GetArray()) {
+      line("roll-out    " + Text(r, "service") + " to " + Text(r, "version") + ": " +
+           Text(r, "stage") + ", " + Text(r, "reason"));
+    }
+  }
   line("voters");
   if (d.HasMember("voters") && d["voters"].IsArray()) {
     for (const auto& v : d["voters"].GetArray()) {
@@ -126,6 +143,69 @@
   return out;
 }
 
+std::string RolloutsText(const std::string& json, bool* degraded) {
+  rapidjson::Document d;
+  d.Parse(json.data(), json.size());
+  if (d.HasParseError() || !d.IsObject() || !d.HasMember("rollouts") || !d["rollouts"].IsArray()) {
+    *degraded = true;
+    return "the answer can't be read\n";
+  }
+  std::string out;
+  auto line = [&](const std::string& text) { out += text + "\n"; };
+  *degraded = Text(d, "settled") != "yes";
+  line("asked       " + Text(d, "node"));
+  if (*degraded) line("unknown     the votes, and whether what follows is the newest: no leader");
+  if (Text(d, "by-order") != "yes") {
+    line("note        versions get traffic without an order here: `contracts` lacks `rollout`");
+  }
+  if (d.HasMember("in-force") && d["in-force"].IsObject()) {
+    for (const auto& v : d["in-force"].GetObject()) {
+      line("in force    " + std::string(v.name.GetString()) + "  " + v.value.GetString());
+    }
+  }
+  for (const auto& r : d["rollouts"].GetArray()) {
+    line("roll-out    " + Text(r, "service") + " from " + Text(r, "from") + " to " +
+         Text(r, "version") + ": " + Text(r, "status") + " (" + Text(r, "stage") + "), " +
+         Text(r, "elapsed-ms") + " ms of " + Text(r, "over-ms"));
+    line("  reason    " + Text(r, "reason"));
+    if (!r.HasMember("watchers") || !r["watchers"].IsArray()) continue;
+    const rapidjson::Value* newest = nullptr;
+    for (const auto& w : r["watchers"].GetArray()) {
+      std::string ago = Text(w, "ago-ms", "");
+      line("  watcher   " + Text(w, "address") + "  " + Text(w, "vote") +
+           (ago.empty() ? "" : ", " + ago + " ms ago") +
+           (Text(w, "why", "").empty() ? "" : ": " + Text(w, "why", "")));
+      bool newer = !newest || std::stoll("0" + ago) < std::stoll("0" + Text(*newest, "ago-ms"));
+      if (!ago.empty() && newer) newest = &w;
+    }
+    if (!newest) continue;
+    line("  sent      " + Text(*newest, "sent-to-new") + " of " + Text(*newest, "requests") +
+         " requests to the new version; " + Text(*newest, "proxies-heard") + " of " +
+         Text(*newest, "proxies-in-sight") + " proxies heard");
+    if (Text(*newest, "not-confirmed") != "0" || Text(*newest, "not-heard") != "0") {
+      std::string names;
+      if (newest->HasMember("missing") && (*newest)["missing"].IsArray()) {
+        for (const auto& m : (*newest)["missing"].GetArray()) {
+          names += std::string(" ") + m.GetString();
+        }
+      }
+      line("  waits for " + Text(*newest, "not-confirmed") + " that have not confirmed, " +
+           Text(*newest, "not-heard") + " that are not heard:" + names);
+    }
+    if (!newest->HasMember("routes") || !(*newest)["routes"].IsArray()) continue;
+    for (const auto& route : (*newest)["routes"].GetArray()) {
+      for (const char* version : {"old", "new"}) {
+        if (!route.HasMember(version)) continue;
+        const auto& c = route[version];
+        line("  route     " + Text(route, "route") + "  " + version + ": " + Text(c, "answers") +
+             " answers, " + Text(c, "failed") + " failed, " + Text(c, "broken-off") +
+             " broken off, " + Text(c, "late") + " late of " + Text(c, "timed"));
+      }
+    }
+  }
+  return out;
+}
+
 std::string DiagnosisText(const std::string& json, bool* degraded) {
   rapidjson::Document d;
   d.Parse(json.data(), json.size());
@@ -169,6 +249,11 @@
               &DiagnosisText);
 }
 
+int ShowRollouts(const base::Address& control, const std::string& service, bool json) {
+  return Show(control, "/elderkeel/rollout-report" + (service.empty() ? "" : "?service=" + service),
+              json, &RolloutsText);
+}
+
 int ShowDiagnosis(const base::Address& control, const std::string& query, bool json) {
   return Show(control, "/elderkeel/diagnose?" + query, json, &DiagnosisText);
 }
--- a/src/diagnosis/console.h
+++ b/src/diagnosis/console.h
@@ -15,10 +15,12 @@
 
 int ShowStatus(const base::Address& control, bool json);
 int ShowFailures(const base::Address& control, const std::string& query, bool json);
+int ShowRollouts(const base::Address& control, const std::string& service, bool json);
 int ShowDiagnosis(const base::Address& control, const std::string& query, bool json);
 
 // As text; `degraded` tells the exit code. Apart from the call, so that it can be tested.
 std::string StatusText(const std::string& json, bool* degraded);
+std::string RolloutsText(const std::string& json, bool* degraded);
 std::string DiagnosisText(const std::string& json, bool* degraded);
 
 }  // namespace elderkeel::diagnosis
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -143,6 +143,8 @@
     if (change.what == Servers::Change::What::kNew) {
       recorder_->names().Set(telemetry::NameBook::kServer, change.server,
                              servers_.at(change.server).id);
+      recorder_->names().Set(telemetry::NameBook::kVersion, servers_.at(change.server).version,
+                             servers_.VersionOf(change.server));
       continue;
     }
     record.what = change.what == Servers::Change::What::kDraining
@@ -710,6 +712,7 @@
   record.route = x.route_index;
   record.service = x.service;
   record.server = x.last_server;
+  if (x.last_server != UINT32_MAX) record.version = servers_.at(x.last_server).version;
   record.total_us = static_cast<uint32_t>((base::SteadyNanos() - x.arrived_ns) / 1000);
   record.waited_us = static_cast<uint32_t>(x.waited_ns / 1000);
   record.status = static_cast<uint16_t>(status);
--- a/src/forwarding/servers.h
+++ b/src/forwarding/servers.h
@@ -119,7 +119,6 @@
   const std::string& VersionOf(uint32_t server) const {
     return versions_.Name(servers_[server].version);
   }
-  const std::string& VersionName(uint32_t version) const { return versions_.Name(version); }
   // Sends in flight at servers of one version; those that are gone count too.
   uint32_t InFlight(uint32_t service, const std::string& version) const;
 
--- a/src/rollout/conductor.cc
+++ b/src/rollout/conductor.cc
@@ -91,6 +91,7 @@
                                        uint64_t version) const {
   Count count;
   std::string doubt;
+  bool moved_heard = false, still_moving = false;
   for (uint64_t watcher : rollout.watchers) {
     auto at = known.votes.find(watcher);
     if (at == known.votes.end() || now - at->second.at > options_.fresh) continue;
@@ -106,12 +107,15 @@
     if (vote.version < version || vote.in_sight == 0) continue;
     bool all = vote.unmoved == 0 && vote.unheard == 0;
     count.moved |= all;
-    count.in_sight |= vote.unmoved == 0;
+    moved_heard |= vote.heard * 2 >= vote.in_sight;
+    still_moving |= vote.unmoved > 0;
     if (!all) {
-      count.missing = std::to_string(vote.unmoved) + " in sight and " +
+      count.missing = std::to_string(vote.unmoved) + " of those heard and " +
                       std::to_string(vote.unheard) + " not heard have not confirmed";
     }
   }
+  // A watcher that is cut off itself hears few who could still be moving.
+  count.moved_heard = moved_heard && !still_moving;
   if (count.why.empty()) count.why = doubt;
   return count;
 }
@@ -135,8 +139,8 @@
       if (bad) return {Stage::kReverting, "voted bad while it was promoted: " + count.why};
       if (count.moved) return {Stage::kCompleted, "all proxies have moved"};
       // Those that can't be heard learn of it when they are; nothing of theirs can be waited for.
-      if (age >= term - kLeaveOut && count.in_sight) {
-        return {Stage::kCompleted, "all proxies in sight have moved; " + count.missing};
+      if (age >= term - kLeaveOut && count.moved_heard) {
+        return {Stage::kCompleted, "all proxies that are heard have moved; " + count.missing};
       }
       if (age >= term + options_.overtime) {
         return {Stage::kCompleted, "waited long enough; " + count.missing};
--- a/src/rollout/conductor.h
+++ b/src/rollout/conductor.h
@@ -63,9 +63,9 @@
   };
   struct Count {
     size_t heard = 0, good = 0, bad = 0;
-    std::string why;        // of a vote that says bad, or of one that can't say good
-    bool moved = false;     // some watcher has heard it of every proxy
-    bool in_sight = false;  // or at least of every proxy in sight
+    std::string why;           // of a vote that says bad, or of one that can't say good
+    bool moved = false;        // some watcher has heard it of every proxy
+    bool moved_heard = false;  // or at least of every proxy whose word comes
     std::string missing;
   };
   Count CountVotes(base::Millis now, const Rollout& rollout, const Known& known,
--- a/src/rollout/messages.h
+++ b/src/rollout/messages.h
@@ -97,8 +97,8 @@
   uint32_t in_sight = 0;
   uint64_t requests = 0;          // for the service, by all of them
   uint64_t exposed = 0;           // sends to the new version
-  uint32_t unmoved = 0;           // proxies in sight that have not confirmed the stage's move
-  uint32_t unheard = 0;           // proxies held for lost that have not
+  uint32_t unmoved = 0;           // proxies heard that have not confirmed the stage's move
+  uint32_t unheard = 0;           // proxies that have not, and whose word does not come
   std::vector<uint64_t> missing;  // some of both, by id
   std::vector<Row> rows;          // the sums
   template <class A>
--- a/src/rollout/watcher.cc
+++ b/src/rollout/watcher.cc
@@ -187,8 +187,9 @@
                                                              : true;
     }
     if (confirmed) continue;
-    // One that answers is in sight, whatever the ring says of it.
-    ++(proxy.reachable || heard ? vote.unmoved : vote.unheard);
+    // What counts is whether its word comes, whatever the ring says of it: it may be cut off from
+    // the watchers alone.
+    ++(heard ? vote.unmoved : vote.unheard);
     if (vote.missing.size() < 8) vote.missing.push_back(proxy.id);
   }
   vote.rows = watch.comparison.Sums();
--- a/src/telemetry/recorder.cc
+++ b/src/telemetry/recorder.cc
@@ -316,6 +316,7 @@
   Add(out, "route", names_.Get(NameBook::kRoute, r.route));
   Add(out, "service", names_.Get(NameBook::kService, r.service));
   Add(out, "server", names_.Get(NameBook::kServer, r.server));
+  if (r.version != UINT32_MAX) Add(out, "version", names_.Get(NameBook::kVersion, r.version));
   Add(out, "sends", r.sends);
   Add(out, "total_us", r.total_us);
   Add(out, "waited_us", r.waited_us);
--- a/src/telemetry/recorder.h
+++ b/src/telemetry/recorder.h
@@ -36,6 +36,7 @@
   uint32_t route = UINT32_MAX;
   uint32_t service = UINT32_MAX;
   uint32_t server = UINT32_MAX;
+  uint32_t version = UINT32_MAX;  // of that server's software
   uint32_t total_us = 0;
   uint32_t waited_us = 0;
   uint16_t status = 0;
@@ -66,7 +67,7 @@
 // Names of dense indices, for the exporter. Written when a name is new, never on a request's path.
 class NameBook {
  public:
-  enum Kind { kRoute, kService, kServer, kKinds };
+  enum Kind { kRoute, kService, kServer, kVersion, kKinds };
   void Set(Kind kind, uint32_t index, const std::string& name);
   std::string Get(Kind kind, uint32_t index) const;
 
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -421,6 +421,13 @@
        0,
        1,
        Stage::kCompleted},
+      {"nor at the bound, by one that hears few",
+       Stage::kPromoting,
+       13400,
+       {O::kGood, O::kGood, O::kGood},
+       0,
+       3,
+       Stage::kPromoting},
       {"one is heard and still at it",
        Stage::kPromoting,
        13900,
@@ -455,9 +462,10 @@
       vote.watcher = i + 1;
       vote.version = state.version();
       vote.opinion = c.votes[i];
-      vote.in_sight = 4;
+      vote.in_sight = vote.heard = 4;
       vote.unmoved = c.unmoved;
       vote.unheard = c.unheard;
+      if (c.unheard > 2) vote.heard = 1;
       conductor.OnVote(1000 + c.age, vote);
     }
     Vote stranger;
