--- a/src/rollout/gate.h
+++ b/src/rollout/gate.h
@@ -38,7 +38,7 @@
   void Adopt(base::Millis now, const Rollouts& rollouts);
   // A watcher answered.
   void Heard(base::Millis now, const Touch& touch);
-  // Versions of this service, and whether that has changed since the last call for it.
+  // Which versions of the service may be sent to now.
   Rule RuleOf(base::Millis now, const std::string& service) const;
 
   bool active() const { return !active_.empty(); }
