Watchers are looked up only while a roll-out is under way; a proxy's life is the ring's

The leader walked all nodes every 50 ms for candidates that nobody asked for, and the proxy drew a second random life beside the one its ring record already has. Behaviour as before.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -499,7 +499,9 @@
 
 void Controller::ReviewRollouts(base::Millis now) {
   if (!settled() || !settings_.VersionsByOrder()) return;
-  for (rollout::Step step : conductor_.Review(now, state_.rollouts, Watchers())) {
+  std::vector<rollout::Step> steps;
+  if (state_.rollouts.Active()) steps = conductor_.Review(now, state_.rollouts, Watchers());
+  for (rollout::Step& step : steps) {
     // Watchers know routes by their keys alone; who reads the reason knows them by their labels.
     for (const std::string& label : configuration::RouteLabels(state_.configuration.text())) {
       std::string key = "route " + std::to_string(rollout::RouteKey(label)) + ":";
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -24,10 +24,7 @@
 }  // namespace
 
 Proxy::Proxy(base::Loop* loop, base::Settings settings, std::string settings_path)
-    : loop_(loop),
-      settings_(std::move(settings)),
-      settings_path_(std::move(settings_path)),
-      life_(base::SystemSeed() | 1) {
+    : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)) {
   readiness::Readiness::Options options;
   options.grace = settings_.grace_s * 1000;
   // Clients of a directory keep an answer up to three times as long as it says.
@@ -244,7 +241,7 @@
   if (ask) ask_touch_at_ = now + kTouchEveryMs;
   for (forwarding::Front::Told& told : front_->TellTallies()) {
     told.tally.node = fleet_->members().self().id;
-    told.tally.life = life_;
+    told.tally.life = fleet_->members().self().life;
     told.tally.asks = ask;
     std::string bytes = wire::Encode(told.tally);
     for (uint64_t watcher : told.watchers) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -60,7 +60,6 @@
   base::Millis read_at_ = 0;
   base::Millis tally_at_ = 0;
   base::Millis ask_touch_at_ = 0;
-  const uint64_t life_;
 };
 
 }  // namespace elderkeel::proxy
