--- a/src/rollout/gate.cc
+++ b/src/rollout/gate.cc
@@ -99,7 +99,7 @@
   rule.main = part.rollout.from;
   const std::string& target = part.rollout.order.version;
   if (part.rollout.stage == Stage::kReverting) return rule;
-  if (!InTouch(now, part) || Braked(now, part)) {
+  if (!MayTry(now, part)) {
     rule.barred = target;
   } else if (part.rollout.stage == Stage::kCanary) {
     rule.side = target;
@@ -123,7 +123,7 @@
 
 bool Gate::TakesSide(base::Millis now, const std::string& service, uint64_t key) const {
   auto at = active_.find(service);
-  if (at == active_.end() || !InTouch(now, at->second) || Braked(now, at->second)) return false;
+  if (at == active_.end() || !MayTry(now, at->second)) return false;
   const Part& part = at->second;
   double draw = static_cast<double>(base::Random(key ^ part.rollout.number).Next() >> 11) * 0x1p-53;
   double canary = CanaryShare();
@@ -137,7 +137,7 @@
 bool Gate::SideForFurther(base::Millis now, const std::string& service) const {
   auto at = active_.find(service);
   return at != active_.end() && at->second.rollout.stage == Stage::kPromoting &&
-         InTouch(now, at->second) && !Braked(now, at->second) && Moved(now, at->second) < 1;
+         MayTry(now, at->second) && Moved(now, at->second) < 1;
 }
 
 void Gate::Sent(const std::string& service, const std::string& version) {
@@ -191,8 +191,8 @@
   tally.age_ms = static_cast<uint32_t>(std::min<base::Millis>(now - part.since, UINT32_MAX));
   tally.requests = part.requests;
   tally.exposed = part.exposed;
-  tally.moved = part.rollout.stage == Stage::kReverting ||
-                (InTouch(now, part) && !Braked(now, part) && Moved(now, part) >= 1);
+  tally.moved =
+      part.rollout.stage == Stage::kReverting || (MayTry(now, part) && Moved(now, part) >= 1);
   for (const auto& [label, row] : part.rows) tally.rows.push_back(row);
   return tally;
 }
--- a/src/rollout/gate.h
+++ b/src/rollout/gate.h
@@ -89,13 +89,12 @@
     uint64_t bad_at = 0;
     base::Millis braked_until = 0;  // while promoting: back at the old version until then
   };
-  bool InTouch(base::Millis now, const Part& part) const {
-    return now - part.heard_at < options_.lease;
-  }
   // What this proxy's own answers say, long before a verdict can be here.
   static bool PlainlyBad(const Part& part);
-  bool Braked(base::Millis now, const Part& part) const {
-    return part.rollout.stage == Stage::kPromoting && now < part.braked_until;
+  // Whether anything may go to the new version from here: in touch with a watcher, and not braked.
+  bool MayTry(base::Millis now, const Part& part) const {
+    bool braked = part.rollout.stage == Stage::kPromoting && now < part.braked_until;
+    return now - part.heard_at < options_.lease && !braked;
   }
   // From 0, before the traffic moves, to 1.
   double Moved(base::Millis now, const Part& part) const;
