--- /dev/null
+++ b/src/consensus/election.cc
@@ -0,0 +1,127 @@
+// Terms and votes: pre-vote, elections, stepping down, handing leadership over.
+#include "consensus/machine.h"
+
+namespace elderkeel::consensus {
+
+void Machine::ResetElection(base::Millis now) {
+  if (fresh_) {
+    // Nobody was heard yet, so there may be nobody to wait for; a pre-vote disturbs no leader.
+    election_at_ =
+        now + timing_.first_election +
+        static_cast<base::Millis>(random_.Below(static_cast<uint64_t>(timing_.first_election * 4)));
+    return;
+  }
+  election_at_ = now + timing_.election +
+                 static_cast<base::Millis>(random_.Below(static_cast<uint64_t>(timing_.election)));
+}
+
+void Machine::BecomeFollower(base::Millis now, Term term, MemberId leader) {
+  if (role_ != Role::kFollower) out_.role_changed = true;
+  if (leading()) {
+    FailReads();
+    progress_.clear();
+  }
+  role_ = Role::kFollower;
+  if (term > term_) {
+    term_ = term;
+    SetHardState(term, 0);
+  }
+  if (leader != leader_id_) out_.role_changed = true;
+  leader_id_ = leader;
+  ResetElection(now);
+}
+
+void Machine::StartPreVote(base::Millis now) {
+  role_ = Role::kPreCandidate;
+  out_.role_changed = true;
+  leader_id_ = 0;
+  votes_ = {self_.id};
+  ResetElection(now);
+  if (votes_.size() >= Majority()) {
+    StartElection(now);
+    return;
+  }
+  for (const Member& v : voters_) {
+    if (v.id == self_.id) continue;
+    Message m = Make(MessageType::kPreVote, v.id);
+    m.term = term_ + 1;
+    m.index = last_index();
+    m.log_term = TermAt(last_index());
+    Post(v.address(), std::move(m), false);
+  }
+}
+
+void Machine::StartElection(base::Millis now) {
+  role_ = Role::kCandidate;
+  out_.role_changed = true;
+  ++term_;
+  SetHardState(term_, self_.id);
+  votes_ = {self_.id};
+  ResetElection(now);
+  if (votes_.size() >= Majority()) {
+    BecomeLeader(now);
+    return;
+  }
+  for (const Member& v : voters_) {
+    if (v.id == self_.id) continue;
+    Message m = Make(MessageType::kRequestVote, v.id);
+    m.index = last_index();
+    m.log_term = TermAt(last_index());
+    Post(v.address(), std::move(m), true);
+  }
+}
+
+void Machine::BecomeLeader(base::Millis now) {
+  role_ = Role::kLeader;
+  fresh_ = false;
+  out_.role_changed = true;
+  leader_id_ = self_.id;
+  quorum_since_ = now;
+  progress_.clear();
+  SyncProgress();
+  Append(EntryKind::kNoop, "");
+  Broadcast(now);
+}
+
+void Machine::OnPreVote(base::Millis now, const Message& m, const base::Address& from) {
+  bool current = m.log_term > TermAt(last_index()) ||
+                 (m.log_term == TermAt(last_index()) && m.index >= last_index());
+  bool leader_alive =
+      leading() || (leader_id_ && now - leader_heard_ < timing_.election && leader_id_ != m.from);
+  Message reply = Make(MessageType::kPreVoteReply, m.from);
+  reply.granted = current && !leader_alive && m.term > term_;
+  reply.term = reply.granted ? m.term : term_;
+  Post(from, std::move(reply), false);
+}
+
+void Machine::OnRequestVote(base::Millis now, const Message& m, const base::Address& from) {
+  bool current = m.log_term > TermAt(last_index()) ||
+                 (m.log_term == TermAt(last_index()) && m.index >= last_index());
+  bool free = hard_.voted_for == 0 || hard_.voted_for == m.from;
+  Message reply = Make(MessageType::kRequestVoteReply, m.from);
+  reply.granted = current && free && role_ == Role::kFollower;
+  if (reply.granted) {
+    SetHardState(term_, m.from);
+    ResetElection(now);
+  }
+  Post(from, std::move(reply), true);
+}
+
+void Machine::OnRequestVoteReply(base::Millis now, const Message& m) {
+  if (role_ != Role::kCandidate || !m.granted || !IsVoter(m.from)) return;
+  votes_.insert(m.from);
+  if (votes_.size() >= Majority()) BecomeLeader(now);
+}
+
+void Machine::TransferLeadership(base::Millis now) {
+  if (!leading()) return;
+  const Progress* best = nullptr;
+  for (const auto& [id, p] : progress_) {
+    if (!p.voter || now - p.heard > timing_.election) continue;
+    if (!best || p.match > best->match) best = &p;
+  }
+  if (!best) return;
+  Post(best->member.address(), Make(MessageType::kTimeoutNow, best->member.id), false);
+}
+
+}  // namespace elderkeel::consensus
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -72,7 +72,7 @@
   // Where a member stands, as the ring tells it; founders are known by address alone at first.
   void NoteZone(const std::string& ip, const std::string& zone) { zones_[ip] = zone; }
   // Hands leadership to the best follower; for an orderly end.
-  void Transfer(base::Millis now);
+  void TransferLeadership(base::Millis now);
   // Replaces the log up to `index`, which must be applied, by a snapshot of the state.
   void Compact(Index index, std::string state);
   Effects Take();
@@ -131,16 +131,16 @@
 
   void BecomeFollower(base::Millis now, Term term, MemberId leader);
   void StartPreVote(base::Millis now);
-  void StartVote(base::Millis now);
+  void StartElection(base::Millis now);
   void BecomeLeader(base::Millis now);
   void ResetElection(base::Millis now);
-  void SetHard(Term term, MemberId voted_for);
+  void SetHardState(Term term, MemberId voted_for);
   Persist& Write();
   void Post(const base::Address& to, Message message, bool after_writes);
   Message Make(MessageType type, MemberId to) const;
 
   Index Append(EntryKind kind, std::string data);
-  void SendAppend(base::Millis now, Progress* p);
+  void SendAppendEntries(base::Millis now, Progress* p);
   void Broadcast(base::Millis now);
   void AdvanceCommit(base::Millis now);
   void ApplyCommitted();
@@ -152,11 +152,11 @@
 
   void HeardLeader(base::Millis now, const Message& m, const base::Address& from);
   void OnPreVote(base::Millis now, const Message& m, const base::Address& from);
-  void OnVote(base::Millis now, const Message& m, const base::Address& from);
-  void OnVoteReply(base::Millis now, const Message& m);
-  void OnAppend(base::Millis now, const Message& m, const base::Address& from);
-  void OnAppendReply(base::Millis now, const Message& m);
-  void OnSnapshot(base::Millis now, const Message& m, const base::Address& from);
+  void OnRequestVote(base::Millis now, const Message& m, const base::Address& from);
+  void OnRequestVoteReply(base::Millis now, const Message& m);
+  void OnAppendEntries(base::Millis now, const Message& m, const base::Address& from);
+  void OnAppendEntriesReply(base::Millis now, const Message& m);
+  void OnInstallSnapshot(base::Millis now, const Message& m, const base::Address& from);
 
   std::string ZoneOf(const Member& member) const {
     auto at = zones_.find(member.ip);
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -165,8 +165,8 @@
   Pump();
 }
 
-void Replica::Transfer() {
-  machine_->Transfer(base::SteadyMillis());
+void Replica::TransferLeadership() {
+  machine_->TransferLeadership(base::SteadyMillis());
   Pump();
 }
 
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -45,7 +45,7 @@
   std::optional<Index> Propose(std::string command);
   bool Read(uint64_t token);
   void Join(const Member& member);
-  void Transfer();
+  void TransferLeadership();
   void NoteZone(const std::string& ip, const std::string& zone) { machine_->NoteZone(ip, zone); }
   bool started() const { return machine_ != nullptr; }
   const Machine& machine() const { return *machine_; }
--- /dev/null
+++ b/src/consensus/replication.cc
@@ -0,0 +1,223 @@
+// The log: appended by the leader, copied by AppendEntries, committed once enough copies are
+// synced.
+#include <algorithm>
+
+#include "consensus/machine.h"
+#include "wire/frame.h"
+
+namespace elderkeel::consensus {
+namespace {
+constexpr size_t kMaxBatch = 64;
+constexpr size_t kMaxBatchBytes = 1 << 20;
+}  // namespace
+
+Index Machine::Append(EntryKind kind, std::string data) {
+  Entry entry;
+  entry.term = term_;
+  entry.index = last_index() + 1;
+  entry.kind = kind;
+  entry.data = std::move(data);
+  Persist& write = Write();
+  write.entries.push_back(entry);
+  write_last_[write.sequence] = entry.index;
+  log_.push_back(std::move(entry));
+  if (kind == EntryKind::kVoters) {
+    RefreshVoters();
+    SyncProgress();
+  }
+  return last_index();
+}
+
+std::optional<Index> Machine::Propose(base::Millis now, std::string command) {
+  now_ = now;
+  if (!settled() || broken_) return std::nullopt;
+  Index index = Append(EntryKind::kCommand, std::move(command));
+  Broadcast(now);
+  return index;
+}
+
+void Machine::Broadcast(base::Millis now) {
+  heartbeat_at_ = now + timing_.heartbeat;
+  for (auto& [id, p] : progress_) SendAppendEntries(now, &p);
+}
+
+void Machine::SendAppendEntries(base::Millis now, Progress* p) {
+  // What was sent and not acknowledged for a while was lost with its connection.
+  if (p->next > p->match + 1 && now - p->sent > timing_.heartbeat * 4 &&
+      now - p->heard > timing_.heartbeat * 4) {
+    p->next = p->match + 1;
+  }
+  if (p->next <= snapshot_.index && At(p->next) == nullptr) {
+    Message m = Make(MessageType::kInstallSnapshot, p->member.id);
+    m.snapshot = {snapshot_};
+    m.round = round_;
+    m.commit = commit_;
+    p->next = snapshot_.index + 1;
+    p->sent = now;
+    Post(p->member.address(), std::move(m), false);
+    return;
+  }
+  Message m = Make(MessageType::kAppendEntries, p->member.id);
+  m.index = p->next - 1;
+  m.log_term = TermAt(m.index);
+  m.commit = commit_;
+  m.round = round_;
+  size_t bytes = 0;
+  for (Index i = p->next; i <= last_index() && m.entries.size() < kMaxBatch; ++i) {
+    const Entry* entry = At(i);
+    if (!entry) break;
+    if (!m.entries.empty() && bytes + entry->data.size() > kMaxBatchBytes) break;
+    bytes += entry->data.size();
+    m.entries.push_back(*entry);
+  }
+  if (!m.entries.empty()) p->sent = now;
+  p->next += m.entries.size();
+  Post(p->member.address(), std::move(m), false);
+}
+
+Index Machine::Synced(const Member& voter) const {
+  if (voter.id == self_.id) return persisted_;
+  auto at = progress_.find(voter.id);
+  return at == progress_.end() ? 0 : at->second.match;
+}
+
+// A majority decides; what it decided must also outlive the loss that is tolerated. Both matter: of
+// five voters with two that may be lost three copies are enough, of three they are all needed.
+bool Machine::EnoughCopies(Index index) const {
+  size_t copies = 0;
+  std::set<std::string> zones, regions, all_zones, all_regions;
+  for (const Member& v : voters_) {
+    std::string zone = ZoneOf(v);
+    auto at = regions_.find(zone);
+    const std::string& region = at == regions_.end() ? zone : at->second;
+    all_zones.insert(zone);
+    all_regions.insert(region);
+    if (Synced(v) < index) continue;
+    ++copies;
+    zones.insert(zone);
+    regions.insert(region);
+  }
+  return copies >= std::max(Majority(), std::min(tolerance_.machines + 1, voters_.size())) &&
+         zones.size() >= std::min(tolerance_.zones + 1, all_zones.size()) &&
+         regions.size() >= std::min(tolerance_.regions + 1, all_regions.size());
+}
+
+void Machine::AdvanceCommit(base::Millis now) {
+  std::vector<Index> matches;
+  for (const Member& v : voters_) matches.push_back(Synced(v));
+  if (matches.empty()) return;
+  std::sort(matches.rbegin(), matches.rend());
+  size_t place = Majority() - 1;
+  while (place < matches.size() && !EnoughCopies(matches[place])) ++place;
+  if (place == matches.size()) return;
+  Index index = matches[place];
+  if (index > commit_ && TermAt(index) == term_) {
+    bool first = TermAt(commit_) != term_;
+    commit_ = index;
+    ApplyCommitted();
+    if (first) out_.role_changed = true;
+    if (!IsVoter(self_.id) && LastVotersIndex() <= commit_) {
+      // The entry that took this member out is committed: its leadership ends with it.
+      TransferLeadership(now);
+      BecomeFollower(now, term_, 0);
+      return;
+    }
+    Broadcast(now);  // followers learn the commit at once, and with it the news
+  }
+}
+
+void Machine::ApplyCommitted() {
+  while (applied_ < commit_) {
+    const Entry* entry = At(applied_ + 1);
+    if (!entry) break;
+    ++applied_;
+    out_.committed.push_back(*entry);
+  }
+}
+
+void Machine::HeardLeader(base::Millis now, const Message& m, const base::Address& from) {
+  if (role_ != Role::kFollower || leader_id_ != m.from) BecomeFollower(now, m.term, m.from);
+  fresh_ = false;
+  leader_heard_ = now;
+  leader_address_ = from;
+  ResetElection(now);
+}
+
+void Machine::OnAppendEntries(base::Millis now, const Message& m, const base::Address& from) {
+  HeardLeader(now, m, from);
+  Message reply = Make(MessageType::kAppendEntriesReply, m.from);
+  reply.round = m.round;
+  bool fits =
+      m.index < snapshot_.index || (m.index <= last_index() && TermAt(m.index) == m.log_term);
+  if (!fits) {
+    reply.granted = false;
+    reply.index = std::min(last_index(), m.index > 0 ? m.index - 1 : 0);
+    Post(from, std::move(reply), true);
+    return;
+  }
+  Index matched = m.index;
+  bool voters_touched = false;
+  for (const Entry& entry : m.entries) {
+    matched = entry.index;
+    if (entry.index <= snapshot_.index) continue;
+    if (entry.index <= last_index()) {
+      if (TermAt(entry.index) == entry.term) continue;
+      // Another leader's entries, never committed, give way.
+      Persist& write = Write();
+      if (write.truncate_from == 0 || entry.index < write.truncate_from) {
+        write.truncate_from = entry.index;
+      }
+      auto& fresh = write.entries;
+      fresh.erase(std::remove_if(fresh.begin(), fresh.end(),
+                                 [&](const Entry& e) { return e.index >= entry.index; }),
+                  fresh.end());
+      log_.erase(std::remove_if(log_.begin(), log_.end(),
+                                [&](const Entry& e) { return e.index >= entry.index; }),
+                 log_.end());
+      persisted_ = std::min(persisted_, entry.index - 1);
+      for (auto& [sequence, last] : write_last_) last = std::min(last, entry.index - 1);
+      voters_touched = true;
+    }
+    Persist& write = Write();
+    write.entries.push_back(entry);
+    write_last_[write.sequence] = entry.index;
+    log_.push_back(entry);
+    voters_touched |= entry.kind == EntryKind::kVoters;
+  }
+  if (voters_touched) RefreshVoters();
+  matched = std::max(matched, std::min(snapshot_.index, m.index + m.entries.size()));
+  if (m.commit > commit_) {
+    commit_ = std::max(commit_, std::min(m.commit, matched));
+    ApplyCommitted();
+  }
+  reply.granted = true;
+  reply.index = matched;
+  Post(from, std::move(reply), true);
+}
+
+void Machine::OnAppendEntriesReply(base::Millis now, const Message& m) {
+  if (!leading()) return;
+  auto at = progress_.find(m.from);
+  if (at == progress_.end()) return;
+  Progress& p = at->second;
+  p.heard = now;
+  p.round = std::max(p.round, m.round);
+  if (m.granted) {
+    if (m.index > p.match) {
+      p.match = m.index;
+      AdvanceCommit(now);
+      if (!leading()) return;
+      at = progress_.find(m.from);
+      if (at == progress_.end()) return;
+    }
+    at->second.next = std::max(at->second.next, at->second.match + 1);
+    if (at->second.next <= last_index()) SendAppendEntries(now, &at->second);
+  } else {
+    p.next = std::max<Index>(1, std::min(m.index + 1, p.next));
+    if (p.match >= p.next) p.match = p.next - 1;  // a learner that lost its disk and kept its id
+    SendAppendEntries(now, &p);
+  }
+  AdvanceReads();
+}
+
+}  // namespace elderkeel::consensus
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -70,16 +70,16 @@
 enum class MessageType : uint8_t {
   kPreVote,
   kPreVoteReply,
-  kVote,
-  kVoteReply,
-  kAppend,
-  kAppendReply,
-  kSnapshot,
+  kRequestVote,
+  kRequestVoteReply,
+  kAppendEntries,
+  kAppendEntriesReply,
+  kInstallSnapshot,
   kTimeoutNow,
 };
 
 struct Message {
-  MessageType type = MessageType::kAppend;
+  MessageType type = MessageType::kAppendEntries;
   uint64_t cluster = 0;
   MemberId from = 0;
   MemberId to = 0;
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -648,7 +648,7 @@
   if (directory_server_) directory_server_->SetLeaving(true);
   // The duty's entry goes out before leadership does.
   leave_.Start(loop_, HoldsDuty() && leading() ? 150 : 0, [this] {
-    if (replica_->started()) replica_->Transfer();
+    if (replica_->started()) replica_->TransferLeadership();
     fleet_->Leave();
     control_->SetLeaving(true);
     leave_.Start(loop_, kLeaveMs, [this] {
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -179,7 +179,7 @@
     Node& n = *nodes_[i];
     if (!n.up || n.frozen) return;
     n.members->Leave(now);
-    if (n.machine) n.machine->Transfer(now);
+    if (n.machine) n.machine->TransferLeadership(now);
     Pump(i);
     Crash(i);
   }
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -257,7 +257,7 @@
   machine.Take();
   // Asked for its vote it says nothing.
   consensus::Message ask;
-  ask.type = consensus::MessageType::kVote;
+  ask.type = consensus::MessageType::kRequestVote;
   ask.cluster = machine.cluster();
   ask.to = machine.self().id;
   ask.from = machine.voters()[0].id == ask.to ? machine.voters()[1].id : machine.voters()[0].id;
@@ -387,12 +387,12 @@
         reply.granted = true;
         if (out.message.type == consensus::MessageType::kPreVote) {
           reply.type = consensus::MessageType::kPreVoteReply;
-        } else if (out.message.type == consensus::MessageType::kVote) {
-          reply.type = consensus::MessageType::kVoteReply;
+        } else if (out.message.type == consensus::MessageType::kRequestVote) {
+          reply.type = consensus::MessageType::kRequestVoteReply;
         } else {
           bool synced = sync_all || std::count(c.synced.begin(), c.synced.end(), reply.from - 1);
           if (!synced) continue;
-          reply.type = consensus::MessageType::kAppendReply;
+          reply.type = consensus::MessageType::kAppendEntriesReply;
           if (!out.message.entries.empty()) reply.index = out.message.entries.back().index;
           reply.entries.clear();
         }
