Membership: a member that ends gives up its vote first; exchanged ones are taken out sooner

Cause: a controller told to end handed over leadership and duty but not its vote. After a planned replacement of one of three, four voted of which one was gone: the next tolerated loss left two of four until 2.5 s of silence had passed. Two that were gone at once and replaced from other zones left seven voters of whom two were dead, and these were waited for for 20 s, or for ever, since each was only taken out if all others were heard. Change: Leave asks the leader to be taken out (never below what the tolerance needs), and the process ends when the leader says that what is committed is on enough other disks, or at the end of grace. Who said that it ends is replaced without patience. As many silent voters as may be lost at once no longer keep each other in; an odd number with two silent ones to spare is treated as an even one. The leader looks at its voters at each tick, not at each heartbeat. A live member is taken out after its successor is in, a dead one before: see consensus.md on joint consensus, which was ruled out.

--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -196,12 +196,20 @@
       election_at_ = now + timing_.election * 4;
       return;
     }
+    ReviewVoters(now);
     if (now >= heartbeat_at_) {
       Broadcast(now);
-      ReviewVoters(now);
+      // Nobody is left to hand over to.
+      departed_ |= leaving_ && std::none_of(progress_.begin(), progress_.end(), [&](const auto& p) {
+                     return now - p.second.heard < timing_.election;
+                   });
     }
     return;
   }
+  if (leaving_ && !departed_ && leader_id_ && now >= leave_at_) {
+    leave_at_ = now + timing_.heartbeat;
+    Post(leader_address_, Make(MessageType::kLeave, leader_id_), false);
+  }
   if (gap > timing_.election) {
     // Slept: what was heard before says nothing about now. Give a leader time to be heard.
     ResetElection(now);
@@ -262,7 +270,12 @@
     case MessageType::kInstallSnapshot:
       return OnInstallSnapshot(now, m, from);
     case MessageType::kTimeoutNow:
-      if (IsVoter(self_.id) && !leading()) StartElection(now);
+      if (IsVoter(self_.id) && !leading() && !leaving_) StartElection(now);
+      return;
+    case MessageType::kLeave:
+      return OnLeave(now, m, from);
+    case MessageType::kLeaveReply:
+      departed_ |= leaving_ && m.granted;
       return;
     default:
       return;
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -73,6 +73,11 @@
   void NoteZone(const std::string& ip, const std::string& zone) { zones_[ip] = zone; }
   // Hands leadership to the best follower; for an orderly end.
   void TransferLeadership(base::Millis now);
+  // From here on this member asks the leader to be taken out, until departed().
+  void Leave() { leaving_ = true; }
+  // The leader has said that this member may end: it has no vote any more, or the others need none
+  // less, and what is committed is on as many of their disks as it must be.
+  bool departed() const { return departed_; }
   // Replaces the log up to `index`, which must be applied, by a snapshot of the state.
   void Compact(Index index, std::string state);
   Effects Take();
@@ -109,6 +114,7 @@
     base::Millis sent = 0;
     uint64_t round = 0;
     bool voter = false;
+    base::Millis leave_asked = -1;  // when it last said that it ends; -1 for never
   };
   struct PendingRead {
     uint64_t token;
@@ -149,6 +155,9 @@
   void SyncProgress();
   void ReviewVoters(base::Millis now);
   bool LiveMajorityWithout(base::Millis now, MemberId without) const;
+  bool Leaving(const Progress& p) const;
+  bool MayEnd(base::Millis now, MemberId id) const;
+  void OnLeave(base::Millis now, const Message& m, const base::Address& from);
 
   void HeardLeader(base::Millis now, const Message& m, const base::Address& from);
   void OnPreVote(base::Millis now, const Message& m, const base::Address& from);
@@ -186,6 +195,9 @@
   std::map<uint64_t, base::Millis> write_since_;
   bool broken_ = false;
   bool fresh_ = true;  // no leader was heard in this life
+  bool leaving_ = false;
+  bool departed_ = false;
+  base::Millis leave_at_ = 0;  // when the leader is asked next
 
   MemberId leader_id_ = 0;
   base::Address leader_address_;
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -73,9 +73,49 @@
   return rest > 0 && live >= rest / 2 + 1;
 }
 
+// It said that it ends, and was not heard since its end: a member that came back is heard again.
+bool Machine::Leaving(const Progress& p) const {
+  return p.leave_asked >= 0 && p.heard - p.leave_asked < timing_.election;
+}
+
+// What is committed must be on as many other disks as a commit asks for, or on all those that are
+// heard and stay; and a newcomer that is being caught up is waited for, since it may replace this
+// member.
+bool Machine::MayEnd(base::Millis now, MemberId id) const {
+  if (!settled() || LastVotersIndex() > commit_) return false;
+  size_t copies = 0, heard = 0, others = 0;
+  for (const Member& v : voters_) {
+    if (v.id == id) continue;
+    ++others;
+    auto at = progress_.find(v.id);
+    bool live = v.id == self_.id || (at != progress_.end() && !Leaving(at->second) &&
+                                     now - at->second.heard < timing_.election);
+    heard += live;
+    copies += live && Synced(v) >= commit_;
+  }
+  for (const auto& [other, p] : progress_) {
+    if (other != id && !p.voter && !Leaving(p) && now - p.heard < timing_.election) return false;
+  }
+  if (IsVoter(id) && voters_.size() > FewestVoters() && LiveMajorityWithout(now, id)) return false;
+  size_t needed = std::max(others / 2 + 1, std::min(tolerance_.machines + 1, others));
+  return copies >= std::min(needed, heard);
+}
+
+void Machine::OnLeave(base::Millis now, const Message& m, const base::Address& from) {
+  auto at = progress_.find(m.from);
+  if (!leading() || at == progress_.end()) return;
+  at->second.heard = now;
+  at->second.leave_asked = now;
+  ReviewVoters(now);
+  Message reply = Make(MessageType::kLeaveReply, m.from);
+  reply.granted = MayEnd(now, m.from);
+  Post(from, std::move(reply), false);
+}
+
 // Voters change one at a time, and only when the last change and an entry of this term are
-// committed. A replaced voter is taken out before its successor is let in: neither step then needs
-// more live members than the other order, and the dead one never counts towards a majority.
+// committed. A dead voter is taken out before its successor is let in: neither step then needs
+// more live members than the other order, and the dead one never counts towards a majority. One
+// that lives and leaves is taken out after: there is then no moment with one voter less.
 void Machine::ReviewVoters(base::Millis now) {
   if (!settled() || LastVotersIndex() > commit_) return;
   auto propose = [&](std::vector<Member> voters) {
@@ -89,8 +129,11 @@
     }
     return rest;
   };
+  auto silent_for = [&](const Member& v) { return now - progress_[v.id].heard; };
+  // One that said that it ends needs no patience.
   auto silent = [&](const Member& v) {
-    return v.id != self_.id && now - progress_[v.id].heard > timing_.replace_after;
+    if (v.id == self_.id) return false;
+    return silent_for(v) > (Leaving(progress_[v.id]) ? timing_.election : timing_.replace_after);
   };
   for (auto at = progress_.begin(); at != progress_.end();) {
     if (!at->second.voter && now - at->second.heard > timing_.replace_after * 2) {
@@ -100,11 +143,12 @@
     }
   }
   for (auto& [id, p] : progress_) {
-    if (p.voter || p.match < commit_ || now - p.heard > timing_.election) continue;
+    if (p.voter || p.match < commit_ || now - p.heard > timing_.election || Leaving(p)) continue;
     for (const Member& v : voters_) {
+      if (v.id == self_.id) continue;
       bool same_place = v.ip == p.member.ip;
       bool replaced = ZoneOf(v) == ZoneOf(p.member) && silent(v);
-      if (v.id != self_.id && (same_place || replaced) && LiveMajorityWithout(now, v.id)) {
+      if ((same_place || replaced) && LiveMajorityWithout(now, v.id)) {
         propose(without(v.id));
         return;
       }
@@ -116,16 +160,18 @@
   }
   // One that stays away is not waited for: it would count towards every majority. If it comes back
   // it asks to be taken in again. But a cut is no loss: where every voter is needed for what is
-  // tolerated, it stays.
+  // tolerated, it stays, and so it does while more are silent than may be lost at once.
+  if (voters_.size() <= FewestVoters()) return;
+  size_t all_silent = static_cast<size_t>(std::count_if(voters_.begin(), voters_.end(), silent));
   for (const Member& v : voters_) {
-    if (v.id == self_.id || voters_.size() <= FewestVoters()) continue;
-    bool others_heard = std::none_of(voters_.begin(), voters_.end(), [&](const Member& other) {
-      return other.id != v.id && silent(other);
-    });
-    // Of an even number one less makes the majority smaller, so that is not waited for either: it
-    // is what a machine that was exchanged for another one leaves behind.
-    base::Millis patience = voters_.size() % 2 == 0 ? timing_.replace_after : timing_.forget_after;
-    if (now - progress_[v.id].heard > patience && others_heard && LiveMajorityWithout(now, v.id)) {
+    if (v.id == self_.id || !LiveMajorityWithout(now, v.id)) continue;
+    // Of an even number one less makes the majority smaller, and so do two of an odd one: what
+    // machines that were exchanged for others leave behind is not waited for. One of an odd number
+    // is: without it no fewer are needed.
+    bool helps = voters_.size() % 2 == 0 || (all_silent > 1 && voters_.size() > FewestVoters() + 1);
+    base::Millis patience = helps ? timing_.replace_after : timing_.forget_after;
+    bool away = silent_for(v) > patience && all_silent <= std::max<size_t>(1, tolerance_.machines);
+    if (away || Leaving(progress_[v.id])) {
       propose(without(v.id));
       return;
     }
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -46,6 +46,8 @@
   bool Read(uint64_t token);
   void Join(const Member& member);
   void TransferLeadership();
+  // Gives up the vote; machine().departed() tells when this process may end.
+  void Leave() { machine_->Leave(); }
   void NoteZone(const std::string& ip, const std::string& zone) { machine_->NoteZone(ip, zone); }
   bool started() const { return machine_ != nullptr; }
   const Machine& machine() const { return *machine_; }
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -76,6 +76,8 @@
   kAppendEntriesReply,
   kInstallSnapshot,
   kTimeoutNow,
+  kLeave,       // a voter that is about to end gives up its vote
+  kLeaveReply,  // granted: what it holds is elsewhere, it may end
 };
 
 struct Message {
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -647,17 +647,30 @@
   leaving_ = true;
   if (directory_server_) directory_server_->SetLeaving(true);
   // The duty's entry goes out before leadership does.
-  leave_.Start(loop_, HoldsDuty() && leading() ? 150 : 0, [this] {
-    if (replica_->started()) replica_->TransferLeadership();
+  leave_.Start(loop_, HoldsDuty() && leading() ? 150 : 0, [this, now] {
+    if (replica_->started()) {
+      replica_->Leave();
+      replica_->TransferLeadership();
+    }
     fleet_->Leave();
     control_->SetLeaving(true);
-    leave_.Start(loop_, kLeaveMs, [this] {
-      base::Info("controller.left");
-      loop_->Stop();
-    });
+    leave_.Start(loop_, kLeaveMs, [this, now] { End(now); });
   });
 }
 
+// Ends once what this member holds is elsewhere. At the bound it ends all the same: the platform
+// would kill it, and its disk may well come back.
+void Controller::End(base::Millis since) {
+  base::Millis waited = base::SteadyMillis() - since;
+  bool departed = !replica_->started() || Idle() || replica_->machine().departed();
+  if (!departed && waited < settings_.grace_s * 1000 - kLeaveMs) {
+    leave_.Start(loop_, kTickMs, [this, since] { End(since); });
+    return;
+  }
+  base::Info("controller.left", {{"departed", departed}, {"waited_ms", waited}});
+  loop_->Stop();
+}
+
 // Asks every proxy in sight for its records. It needs no majority: whoever does not answer is
 // named.
 void Controller::Diagnose(wire::HttpServer::Ticket ticket,
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -39,6 +39,8 @@
     std::string detail;
   };
 
+  void End(base::Millis since);
+
   // configuration::Log
   bool settled() const override { return replica_->started() && replica_->machine().settled(); }
   bool leading() const override { return replica_->started() && replica_->machine().leading(); }
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -31,6 +31,7 @@
  public:
   struct Options {
     int controllers = 3;
+    int spare = 0;  // more controllers, which aren't started at first
     int proxies = 4;
     int loss_percent = 2;
     int zones = 3;
@@ -63,6 +64,7 @@
     consensus::Restored disk;
     std::vector<std::pair<Millis, consensus::Persist>> writing;
     Millis disk_hangs_until = 0;
+    Millis leave_by = 0;  // when an orderly end is cut short; 0 for none under way
     // A life.
     uint64_t life = 0;
     std::unique_ptr<consensus::Machine> machine;
@@ -92,9 +94,10 @@
   };
 
   explicit World(Options options) : options_(options), random_(options.seed) {
-    for (int i = 0; i < options.controllers + options.proxies; ++i) {
+    options_.controllers += options.spare;
+    for (int i = 0; i < options_.controllers + options.proxies; ++i) {
       auto node = std::make_unique<Node>();
-      node->controller = i < options.controllers;
+      node->controller = i < options_.controllers;
       node->zone = std::string(1, static_cast<char>('a' + i % options.zones));
       node->address = {"10.0.0." + std::to_string(i + 1), 7200};
       by_address_[node->address] = nodes_.size();
@@ -107,7 +110,9 @@
       m.port = 7200;
       founders_.push_back(m);
     }
-    for (size_t i = 0; i < nodes_.size(); ++i) Start(i, true);
+    for (int i = 0; i < static_cast<int>(nodes_.size()); ++i) {
+      if (i < options.controllers || i >= options_.controllers) Start(static_cast<size_t>(i), true);
+    }
   }
 
   // --- what can happen to a node ---
@@ -116,6 +121,7 @@
     if (n.up) return;
     n.up = true;
     n.frozen = false;
+    n.leave_by = 0;
     n.life = random_.Next() | 1;
     n.adopted_revision = 0;
     n.adopted_epoch = n.adopted_sequence = 0;
@@ -174,14 +180,18 @@
     n.news.reset();
     n.members.reset();
   }
-  // An orderly end.
+  // An orderly end: at once, or once a controller's part in the log has ended, and at a bound.
   void Leave(size_t i) {
     Node& n = *nodes_[i];
-    if (!n.up || n.frozen) return;
+    if (!n.up || n.frozen || n.leave_by) return;
     n.members->Leave(now);
-    if (n.machine) n.machine->TransferLeadership(now);
+    if (n.machine) {
+      n.machine->Leave();
+      n.machine->TransferLeadership(now);
+      n.leave_by = now + 5000;
+    }
     Pump(i);
-    Crash(i);
+    if (!n.machine) Crash(i);
   }
   // Like a crash, but of the writes that were never synced the disk may have kept some: those that
   // its log holds from the oldest on. A write that is torn counts as missing, and all after it.
@@ -213,6 +223,7 @@
     for (size_t i = 0; i < nodes_.size(); ++i) {
       Freeze(i, false);
       nodes_[i]->disk_hangs_until = 0;
+      if (nodes_[i]->leave_by) Crash(i);  // starts again at once instead of later
       Start(i);
     }
   }
@@ -392,6 +403,7 @@
       }
       if (!n.controller && options_.requests > 0) Serve(i);
       Pump(i);
+      if (n.leave_by && (n.machine->departed() || now >= n.leave_by)) Crash(i);
     }
   }
 
