Store: its folders are synced whenever a file in them was made or renamed

Cause: LevelDB makes a log file when its write buffer is full, syncs that file at each write, and its folder only with the next manifest. Until then a loss of power may take the file with every write that was acknowledged from it. `data-dir` and `data-dir/log` were made and never synced into what holds them.

Change: the store's Env syncs the folder after each made and renamed file, before LevelDB writes to it; the store makes `data-dir` and `log` itself and syncs their names at each opening, since who made them may have lost power first. OpenDiskStore takes the file system (a leveldb::Env and a call that syncs a folder, which Env lacks).

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -1,7 +1,5 @@
 #include "consensus/replica.h"
 
-#include <sys/stat.h>
-
 #include <algorithm>
 #include <filesystem>
 
@@ -37,7 +35,6 @@
     store = MakeMemoryStore();
   } else {
     std::string directory = options_.data_dir + "/log";
-    mkdir(options_.data_dir.c_str(), 0755);
     auto opened = OpenDiskStore(directory);
     if (opened) {
       auto loaded = (*opened)->Load();
--- a/src/consensus/store.cc
+++ b/src/consensus/store.cc
@@ -7,31 +7,75 @@
 #include <leveldb/write_batch.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
 #include "wire/frame.h"
 
 namespace elderkeel::consensus {
 namespace {
 
-// LevelDB renames CURRENT and then removes what the old one named, without syncing the folder in
-// between; after a power loss the removals could have lasted and the rename not. Syncing the folder
-// at each rename orders the two.
-class OrderedEnv : public leveldb::EnvWrapper {
+leveldb::Status SyncFolder(const std::string& folder) {
+  int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0 && errno == EACCES) return leveldb::Status::NotSupported(folder, "can't be read");
+  if (fd < 0) return leveldb::Status::IOError(folder, std::strerror(errno));
+  int failed = fsync(fd) == 0 ? 0 : errno;
+  close(fd);
+  if (failed != 0) return leveldb::Status::IOError(folder, std::strerror(failed));
+  return leveldb::Status::OK();
+}
+
+std::string Parent(const std::string& path) {
+  std::filesystem::path clean = std::filesystem::path(path + "/").lexically_normal();
+  std::string parent = clean.parent_path().parent_path().string();
+  return parent.empty() ? "." : parent;
+}
+
+// LevelDB syncs a folder only with a new manifest: log files take synced writes before that, and
+// the files that CURRENT named before are removed before its new name is synced. Here a folder is
+// synced whenever a file in it was made or renamed, before LevelDB goes on. What was removed may
+// come back: LevelDB knows by number what it has done with.
+class SyncedEnv : public leveldb::EnvWrapper {
  public:
-  OrderedEnv() : leveldb::EnvWrapper(leveldb::Env::Default()) {}
+  explicit SyncedEnv(const FileSystem& files) : EnvWrapper(files.env), files_(files) {}
 
+  leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** file) override {
+    return Synced(name, file, target()->NewWritableFile(name, file));
+  }
+  leveldb::Status NewAppendableFile(const std::string& name,
+                                    leveldb::WritableFile** file) override {
+    return Synced(name, file, target()->NewAppendableFile(name, file));
+  }
   leveldb::Status RenameFile(const std::string& from, const std::string& to) override {
     leveldb::Status status = target()->RenameFile(from, to);
+    return status.ok() ? files_.sync_folder(Parent(to)) : status;
+  }
+
+ private:
+  leveldb::Status Synced(const std::string& name, leveldb::WritableFile** file,
+                         leveldb::Status status) {
     if (!status.ok()) return status;
-    std::string folder = to.substr(0, to.rfind('/'));
-    int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (fd < 0) return leveldb::Status::IOError(folder, "cannot be opened to sync it");
-    int failed = fsync(fd);
-    close(fd);
-    if (failed != 0) return leveldb::Status::IOError(folder, "cannot be synced");
+    status = files_.sync_folder(Parent(name));
+    if (status.ok()) return status;
+    delete *file;
+    *file = nullptr;
     return status;
   }
+
+  FileSystem files_;
 };
 
+// Whoever made the folder may have lost power before its name was synced, so it is synced in any
+// case. A folder that its owner made, in one that this process may not read, is taken as it is.
+leveldb::Status MakeFolder(const FileSystem& files, const std::string& folder) {
+  bool made = files.env->CreateDir(folder).ok();
+  leveldb::Status status = files.sync_folder(Parent(folder));
+  if (status.ok() || (!made && status.IsNotSupportedError())) return leveldb::Status::OK();
+  if (made) files.env->RemoveDir(folder);
+  return status;
+}
+
 std::string EntryKey(Index index) {
   std::string key = "e";
   for (int shift = 56; shift >= 0; shift -= 8) key.push_back(static_cast<char>(index >> shift));
@@ -40,9 +84,13 @@
 
 class DiskStore : public Store {
  public:
-  explicit DiskStore(std::string directory) : directory_(std::move(directory)) {}
+  DiskStore(std::string directory, const FileSystem& files)
+      : directory_(std::move(directory)), files_(files), env_(files) {}
 
   base::Result<bool> Open() {
+    leveldb::Status status = MakeFolder(files_, Parent(directory_));
+    if (status.ok()) status = MakeFolder(files_, directory_);
+    if (!status.ok()) return base::Error{"store.open", "", status.ToString()};
     leveldb::Options options;
     options.create_if_missing = true;
     options.env = &env_;
@@ -52,7 +100,7 @@
     cache_.reset(leveldb::NewLRUCache(64 << 10));
     options.block_cache = cache_.get();
     leveldb::DB* db = nullptr;
-    leveldb::Status status = leveldb::DB::Open(options, directory_, &db);
+    status = leveldb::DB::Open(options, directory_, &db);
     if (!status.ok()) return base::Error{"store.open", "", status.ToString()};
     db_.reset(db);
     return true;
@@ -123,7 +171,8 @@
   }
 
   std::string directory_;
-  OrderedEnv env_;
+  FileSystem files_;
+  SyncedEnv env_;
   std::unique_ptr<leveldb::Cache> cache_;
   std::unique_ptr<leveldb::DB> db_;
 };
@@ -136,8 +185,14 @@
 
 }  // namespace
 
-base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory) {
-  auto store = std::make_unique<DiskStore>(directory);
+const FileSystem& RealFileSystem() {
+  static const FileSystem files{leveldb::Env::Default(), SyncFolder};
+  return files;
+}
+
+base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory,
+                                                   const FileSystem& files) {
+  auto store = std::make_unique<DiskStore>(directory, files);
   auto opened = store->Open();
   if (!opened) return opened.error();
   return std::unique_ptr<Store>(std::move(store));
--- a/src/consensus/store.h
+++ b/src/consensus/store.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <leveldb/env.h>
+
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -21,9 +23,20 @@
   virtual base::Result<bool> Write(const Persist& write) = 0;
 };
 
-// LevelDB in `directory`. A store that can't be read is no store: the caller begins anew with
-// another identity, which is safe since the old one then never votes again.
-base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory);
+// The file system below a store. What `env` makes, renames or removes in a folder outlives a loss
+// of power once the folder was synced, which leveldb::Env has no call for.
+struct FileSystem {
+  leveldb::Env* env;
+  // NotSupported: the folder may not be opened for reading, so it can't be synced.
+  std::function<leveldb::Status(const std::string& folder)> sync_folder;
+};
+const FileSystem& RealFileSystem();
+
+// LevelDB in `directory`, which is made if need be, and so is the folder that holds it. A store
+// that can't be read is no store: the caller begins anew with another identity, which is safe since
+// the old one then never votes again.
+base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory,
+                                                   const FileSystem& files = RealFileSystem());
 // For machines without a disk: everything goes with the process.
 std::unique_ptr<Store> MakeMemoryStore();
 
