Log and store are cut by bytes as well as by entries

With a state of 0.9 MB that was 98 MB of disk.

The store compacts its whole range after 4 MB written, or after as much as it keeps if that is more, on a thread of its own; a write waits for it only if as much again was written meanwhile. Tables are of 1 MB, and LevelDB's own notes, which grew for as long as the process ran, are gone.

--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -73,6 +73,8 @@
   void NoteZone(const std::string& ip, const std::string& zone) { zones_[ip] = zone; }
   // Hands leadership to the best follower; for an orderly end.
   void TransferLeadership(base::Millis now);
+  // Whether the log is long enough, in entries or in bytes, to be replaced by a snapshot.
+  bool CompactionDue() const;
   // Replaces the log up to `index`, which must be applied, by a snapshot of the state.
   void Compact(Index index, std::string state);
   Effects Take();
@@ -95,6 +97,8 @@
   base::Millis LastHeard(MemberId id) const;
   bool disk_stuck(base::Millis now) const;
   size_t log_size() const { return log_.size(); }
+  // Of the entries in memory, those kept behind the snapshot included.
+  size_t log_bytes() const;
   Index snapshot_index() const { return snapshot_.index; }
   bool broken() const { return broken_; }
   // Whether all logs agree is what the simulation checks.
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -10,7 +10,6 @@
 namespace {
 constexpr base::Millis kTickMs = 30;
 constexpr base::Millis kReopenMs = 500;
-constexpr size_t kCompactAfter = 96;  // entries in memory before the log is cut
 }  // namespace
 
 Replica::Replica(base::Loop* loop, Hooks hooks) : loop_(loop), hooks_(std::move(hooks)) {}
@@ -133,7 +132,7 @@
     if (effects.role_changed) hooks_.role_changed();
     for (uint64_t token : effects.reads_failed) hooks_.read_done(token, false);
     for (uint64_t token : effects.reads_ready) hooks_.read_done(token, true);
-    if (machine_->log_size() > kCompactAfter && effects.committed.size() > 0) {
+    if (effects.committed.size() > 0 && machine_->CompactionDue()) {
       machine_->Compact(machine_->commit(), hooks_.snapshot_state());
     }
   }
--- a/src/consensus/snapshot.cc
+++ b/src/consensus/snapshot.cc
@@ -6,7 +6,10 @@
 
 namespace elderkeel::consensus {
 namespace {
+constexpr size_t kCompactAfter = 96;            // entries in memory before the log is cut
+constexpr size_t kCompactAfterBytes = 1 << 20;  // after the snapshot, or twice its own if more
 constexpr Index kTail = 32;  // entries kept behind a snapshot, for members that are a little late
+constexpr size_t kTailBytes = 1 << 20;  // of these, or as many as the snapshot has if more
 }  // namespace
 
 void Machine::OnInstallSnapshot(base::Millis now, const Message& m, const base::Address& from) {
@@ -33,6 +36,21 @@
   Post(from, std::move(reply), true);
 }
 
+size_t Machine::log_bytes() const {
+  size_t bytes = 0;
+  for (const Entry& entry : log_) bytes += entry.data.size();
+  return bytes;
+}
+
+bool Machine::CompactionDue() const {
+  if (log_.size() > kCompactAfter) return true;
+  size_t bytes = 0;
+  for (const Entry& entry : log_) {
+    if (entry.index > snapshot_.index && entry.index <= applied_) bytes += entry.data.size();
+  }
+  return bytes > std::max(kCompactAfterBytes, 2 * snapshot_.state.size());
+}
+
 void Machine::Compact(Index index, std::string state) {
   if (index <= snapshot_.index || index > applied_) return;
   Snapshot snapshot;
@@ -46,7 +64,15 @@
   }
   snapshot.state = std::move(state);
   snapshot_ = std::move(snapshot);
-  Index drop_to = index > kTail ? index - kTail : 0;
+  // Whoever is later than the tail gets the snapshot, so a tail that is larger saves nothing.
+  size_t tail_bytes = std::max(kTailBytes, snapshot_.state.size());
+  Index drop_to = index;
+  for (auto at = log_.rbegin(); at != log_.rend() && drop_to + kTail > index; ++at) {
+    if (at->index > index) continue;
+    if (at->data.size() > tail_bytes) break;
+    tail_bytes -= at->data.size();
+    drop_to = at->index - 1;
+  }
   log_.erase(
       std::remove_if(log_.begin(), log_.end(), [&](const Entry& e) { return e.index <= drop_to; }),
       log_.end());
--- a/src/consensus/store.cc
+++ b/src/consensus/store.cc
@@ -7,6 +7,8 @@
 #include <leveldb/write_batch.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
@@ -76,6 +78,15 @@
   return status;
 }
 
+// Room is given back after so many bytes, or after as many as are kept if that is more: what is
+// kept is copied then.
+constexpr uint64_t kReclaimBytes = 4 << 20;
+
+// LevelDB's own notes would grow for as long as the process runs.
+class NoLogger : public leveldb::Logger {
+  void Logv(const char*, std::va_list) override {}
+};
+
 std::string EntryKey(Index index) {
   std::string key = "e";
   for (int shift = 56; shift >= 0; shift -= 8) key.push_back(static_cast<char>(index >> shift));
@@ -87,6 +98,10 @@
   DiskStore(std::string directory, const FileSystem& files)
       : directory_(std::move(directory)), files_(files), env_(files) {}
 
+  ~DiskStore() override {
+    if (reclaimer_.joinable()) reclaimer_.join();
+  }
+
   base::Result<bool> Open() {
     leveldb::Status status = MakeFolder(files_, Parent(directory_));
     if (status.ok()) status = MakeFolder(files_, directory_);
@@ -95,7 +110,9 @@
     options.create_if_missing = true;
     options.env = &env_;
     options.write_buffer_size = 512 << 10;
+    options.max_file_size = 1 << 20;
     options.max_open_files = 32;
+    options.info_log = &logger_;
     options.compression = leveldb::kNoCompression;
     cache_.reset(leveldb::NewLRUCache(64 << 10));
     options.block_cache = cache_.get();
@@ -103,6 +120,7 @@
     status = leveldb::DB::Open(options, directory_, &db);
     if (!status.ok()) return base::Error{"store.open", "", status.ToString()};
     db_.reset(db);
+    written_ = Kept();  // some of it may have been dropped in an earlier life
     return true;
   }
 
@@ -158,10 +176,31 @@
                    write.truncate_from > 0;
     leveldb::Status status = db_->Write(options, &batch);
     if (!status.ok()) return base::Error{"store.write", "", status.ToString()};
+    written_ += batch.ApproximateSize();
     return true;
   }
 
+  // On a thread of its own, so that writes go on; they wait for it only if as much was written
+  // since it began.
+  void Reclaim() override {
+    if (written_ < std::max(kReclaimBytes, kept_.load())) return;
+    if (reclaimer_.joinable()) reclaimer_.join();
+    written_ = 0;
+    reclaimer_ = std::thread([this] {
+      db_->CompactRange(nullptr, nullptr);
+      kept_ = Kept();
+    });
+  }
+
  private:
+  // Bytes in tables.
+  uint64_t Kept() {
+    leveldb::Range all("", "z");
+    uint64_t bytes = 0;
+    db_->GetApproximateSizes(&all, 1, &bytes);
+    return bytes;
+  }
+
   void Drop(leveldb::WriteBatch* batch, Index from, Index to) {
     std::unique_ptr<leveldb::Iterator> at(db_->NewIterator(leveldb::ReadOptions()));
     std::string last = EntryKey(to);
@@ -173,8 +212,12 @@
   std::string directory_;
   FileSystem files_;
   SyncedEnv env_;
+  NoLogger logger_;
+  uint64_t written_ = 0;           // bytes since room was given back
+  std::atomic<uint64_t> kept_{0};  // bytes that were left then
   std::unique_ptr<leveldb::Cache> cache_;
   std::unique_ptr<leveldb::DB> db_;
+  std::thread reclaimer_;
 };
 
 class MemoryStore : public Store {
@@ -235,7 +278,9 @@
       write = std::move(queue_.front());
       queue_.pop_front();
     }
-    done_(write.sequence, store_->Write(write));
+    auto written = store_->Write(write);
+    done_(write.sequence, written);
+    if (written) store_->Reclaim();
   }
 }
 
--- a/src/consensus/store.h
+++ b/src/consensus/store.h
@@ -21,6 +21,8 @@
   virtual base::Result<Restored> Load() = 0;
   // On disk, synced, when it returns true.
   virtual base::Result<bool> Write(const Persist& write) = 0;
+  // Gives back the room of what was dropped, if enough was written since; called between writes.
+  virtual void Reclaim() {}
 };
 
 // The file system below a store. What `env` makes, renames or removes in a folder outlives a loss
--- a/tests/consensus_store_test.cc
+++ b/tests/consensus_store_test.cc
@@ -1,9 +1,12 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include "base/random.h"
+#include "consensus/machine.h"
 #include "consensus/store.h"
 
 namespace elderkeel::consensus {
@@ -102,5 +105,74 @@
   EXPECT_EQ(Reload().entries.size(), 20u);
 }
 
+// The only voter of a log with a state of 0.9 MB, changed whole and in parts by turns.
+TEST_F(StoreTest, ManyLargeChangesNeedLittleRoom) {
+  constexpr size_t kState = 900'000, kChanges = 64;
+  auto store = OpenDiskStore(path_.string());
+  ASSERT_TRUE(store.ok());
+  std::atomic<bool> ending{false};
+  std::atomic<uint64_t> peak{0};
+  std::thread watch([&] {
+    while (!ending) {
+      uint64_t bytes = 0;
+      std::error_code ignored;
+      for (const auto& file : std::filesystem::directory_iterator(path_, ignored)) {
+        std::error_code gone;
+        uint64_t size = file.file_size(gone);
+        if (!gone) bytes += size;
+      }
+      peak = std::max<uint64_t>(peak, bytes);
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  });
+  Machine::Options options;
+  options.self.id = 1;
+  options.founders = {options.self};
+  options.cluster = 7;
+  Machine machine(options, Restored(), 0);
+  size_t log_bytes = 0, log_size = 0;
+  base::Millis longest = 0;
+  std::string state(2 * kState, 's');  // the configuration in force, and the newest change
+  auto work = [&] {
+    for (bool any = true; any;) {
+      Machine::Effects effects = machine.Take();
+      any = !effects.writes.empty();
+      for (const Persist& write : effects.writes) {
+        auto written = (*store)->Write(write);
+        machine.Persisted(0, write.sequence, written.ok());
+        base::Millis begun = base::SteadyMillis();
+        (*store)->Reclaim();
+        longest = std::max(longest, base::SteadyMillis() - begun);
+      }
+      if (!effects.committed.empty() && machine.CompactionDue()) {
+        machine.Compact(machine.commit(), state);
+      }
+      log_bytes = std::max(log_bytes, machine.log_bytes());
+      log_size = std::max(log_size, machine.log_size());
+    }
+  };
+  for (base::Millis now = 0; !machine.settled() && now < 5000; now += 30) {
+    machine.Tick(now);
+    work();
+  }
+  for (size_t i = 0; i < kChanges; ++i) {
+    size_t bytes = i % 2 == 0 ? kState : 400;
+    ASSERT_TRUE(machine.Propose(0, std::string(bytes, static_cast<char>('a' + i % 26))));
+    work();
+  }
+  ending = true;
+  watch.join();
+  std::cout << "folder " << peak / 1000 << " kB, log " << log_bytes / 1000 << " kB, " << log_size
+            << " entries at their peaks, room given back in " << longest << " ms at most\n";
+  EXPECT_LT(peak, 32u << 20);
+  EXPECT_LT(log_bytes, 8u << 20);
+  EXPECT_LE(log_size, 97u);
+  store->reset();
+  Restored restored = Reload();
+  EXPECT_EQ(restored.snapshot.index, machine.snapshot_index());
+  ASSERT_FALSE(restored.entries.empty());
+  EXPECT_EQ(restored.entries.back().index, machine.last_index());
+}
+
 }  // namespace
 }  // namespace elderkeel::consensus
