--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -78,6 +78,8 @@
   // The leader has said that this member may end: it has no vote any more, or the others need none
   // less, and what is committed is on as many of their disks as it must be.
   bool departed() const { return departed_; }
+  // Whether the log is long enough, in entries or in bytes, to be replaced by a snapshot.
+  bool CompactionDue() const;
   // Replaces the log up to `index`, which must be applied, by a snapshot of the state.
   void Compact(Index index, std::string state);
   Effects Take();
@@ -100,6 +102,8 @@
   base::Millis LastHeard(MemberId id) const;
   bool disk_stuck(base::Millis now) const;
   size_t log_size() const { return log_.size(); }
+  // Of the entries in memory, those kept behind the snapshot included.
+  size_t log_bytes() const;
   Index snapshot_index() const { return snapshot_.index; }
   bool broken() const { return broken_; }
   // Whether all logs agree is what the simulation checks.
--- a/src/consensus/store.cc
+++ b/src/consensus/store.cc
@@ -7,29 +7,84 @@
 #include <leveldb/write_batch.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
 #include "wire/frame.h"
 
 namespace elderkeel::consensus {
 namespace {
 
-// LevelDB renames CURRENT and then removes what the old one named, without syncing the folder in
-// between; after a power loss the removals could have lasted and the rename not. Syncing the folder
-// at each rename orders the two.
-class OrderedEnv : public leveldb::EnvWrapper {
+leveldb::Status SyncFolder(const std::string& folder) {
+  int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0 && errno == EACCES) return leveldb::Status::NotSupported(folder, "can't be read");
+  if (fd < 0) return leveldb::Status::IOError(folder, std::strerror(errno));
+  int failed = fsync(fd) == 0 ? 0 : errno;
+  close(fd);
+  if (failed != 0) return leveldb::Status::IOError(folder, std::strerror(failed));
+  return leveldb::Status::OK();
+}
+
+std::string Parent(const std::string& path) {
+  std::filesystem::path clean = std::filesystem::path(path + "/").lexically_normal();
+  std::string parent = clean.parent_path().parent_path().string();
+  return parent.empty() ? "." : parent;
+}
+
+// LevelDB syncs a folder only with a new manifest: log files take synced writes before that, and
+// the files that CURRENT named before are removed before its new name is synced. Here a folder is
+// synced whenever a file in it was made or renamed, before LevelDB goes on. What was removed may
+// come back: LevelDB knows by number what it has done with.
+class SyncedEnv : public leveldb::EnvWrapper {
  public:
-  OrderedEnv() : leveldb::EnvWrapper(leveldb::Env::Default()) {}
+  explicit SyncedEnv(const FileSystem& files) : EnvWrapper(files.env), files_(files) {}
 
+  leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** file) override {
+    return Synced(name, file, target()->NewWritableFile(name, file));
+  }
+  leveldb::Status NewAppendableFile(const std::string& name,
+                                    leveldb::WritableFile** file) override {
+    return Synced(name, file, target()->NewAppendableFile(name, file));
+  }
   leveldb::Status RenameFile(const std::string& from, const std::string& to) override {
     leveldb::Status status = target()->RenameFile(from, to);
+    return status.ok() ? files_.sync_folder(Parent(to)) : status;
+  }
+
+ private:
+  leveldb::Status Synced(const std::string& name, leveldb::WritableFile** file,
+                         leveldb::Status status) {
     if (!status.ok()) return status;
-    std::string folder = to.substr(0, to.rfind('/'));
-    int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (fd < 0) return leveldb::Status::IOError(folder, "cannot be opened to sync it");
-    int failed = fsync(fd);
-    close(fd);
-    if (failed != 0) return leveldb::Status::IOError(folder, "cannot be synced");
+    status = files_.sync_folder(Parent(name));
+    if (status.ok()) return status;
+    delete *file;
+    *file = nullptr;
     return status;
   }
+
+  FileSystem files_;
+};
+
+// Whoever made the folder may have lost power before its name was synced, so it is synced in any
+// case. A folder that its owner made, in one that this process may not read, is taken as it is.
+leveldb::Status MakeFolder(const FileSystem& files, const std::string& folder) {
+  bool made = files.env->CreateDir(folder).ok();
+  leveldb::Status status = files.sync_folder(Parent(folder));
+  if (status.ok() || (!made && status.IsNotSupportedError())) return leveldb::Status::OK();
+  if (made) files.env->RemoveDir(folder);
+  return status;
+}
+
+// Room is given back after so many bytes, or after as many as are kept if that is more: what is
+// kept is copied then.
+constexpr uint64_t kReclaimBytes = 4 << 20;
+
+// LevelDB's own notes would grow for as long as the process runs.
+class NoLogger : public leveldb::Logger {
+  void Logv(const char*, std::va_list) override {}
 };
 
 std::string EntryKey(Index index) {
@@ -40,21 +95,32 @@
 
 class DiskStore : public Store {
  public:
-  explicit DiskStore(std::string directory) : directory_(std::move(directory)) {}
+  DiskStore(std::string directory, const FileSystem& files)
+      : directory_(std::move(directory)), files_(files), env_(files) {}
+
+  ~DiskStore() override {
+    if (reclaimer_.joinable()) reclaimer_.join();
+  }
 
   base::Result<bool> Open() {
+    leveldb::Status status = MakeFolder(files_, Parent(directory_));
+    if (status.ok()) status = MakeFolder(files_, directory_);
+    if (!status.ok()) return base::Error{"store.open", "", status.ToString()};
     leveldb::Options options;
     options.create_if_missing = true;
     options.env = &env_;
     options.write_buffer_size = 512 << 10;
+    options.max_file_size = 1 << 20;
     options.max_open_files = 32;
+    options.info_log = &logger_;
     options.compression = leveldb::kNoCompression;
     cache_.reset(leveldb::NewLRUCache(64 << 10));
     options.block_cache = cache_.get();
     leveldb::DB* db = nullptr;
-    leveldb::Status status = leveldb::DB::Open(options, directory_, &db);
+    status = leveldb::DB::Open(options, directory_, &db);
     if (!status.ok()) return base::Error{"store.open", "", status.ToString()};
     db_.reset(db);
+    written_ = Kept();  // some of it may have been dropped in an earlier life
     return true;
   }
 
@@ -110,10 +176,31 @@
                    write.truncate_from > 0;
     leveldb::Status status = db_->Write(options, &batch);
     if (!status.ok()) return base::Error{"store.write", "", status.ToString()};
+    written_ += batch.ApproximateSize();
     return true;
   }
 
+  // On a thread of its own, so that writes go on; they wait for it only if as much was written
+  // since it began.
+  void Reclaim() override {
+    if (written_ < std::max(kReclaimBytes, kept_.load())) return;
+    if (reclaimer_.joinable()) reclaimer_.join();
+    written_ = 0;
+    reclaimer_ = std::thread([this] {
+      db_->CompactRange(nullptr, nullptr);
+      kept_ = Kept();
+    });
+  }
+
  private:
+  // Bytes in tables.
+  uint64_t Kept() {
+    leveldb::Range all("", "z");
+    uint64_t bytes = 0;
+    db_->GetApproximateSizes(&all, 1, &bytes);
+    return bytes;
+  }
+
   void Drop(leveldb::WriteBatch* batch, Index from, Index to) {
     std::unique_ptr<leveldb::Iterator> at(db_->NewIterator(leveldb::ReadOptions()));
     std::string last = EntryKey(to);
@@ -123,9 +210,14 @@
   }
 
   std::string directory_;
-  OrderedEnv env_;
+  FileSystem files_;
+  SyncedEnv env_;
+  NoLogger logger_;
+  uint64_t written_ = 0;           // bytes since room was given back
+  std::atomic<uint64_t> kept_{0};  // bytes that were left then
   std::unique_ptr<leveldb::Cache> cache_;
   std::unique_ptr<leveldb::DB> db_;
+  std::thread reclaimer_;
 };
 
 class MemoryStore : public Store {
@@ -136,8 +228,14 @@
 
 }  // namespace
 
-base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory) {
-  auto store = std::make_unique<DiskStore>(directory);
+const FileSystem& RealFileSystem() {
+  static const FileSystem files{leveldb::Env::Default(), SyncFolder};
+  return files;
+}
+
+base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory,
+                                                   const FileSystem& files) {
+  auto store = std::make_unique<DiskStore>(directory, files);
   auto opened = store->Open();
   if (!opened) return opened.error();
   return std::unique_ptr<Store>(std::move(store));
@@ -180,7 +278,9 @@
       write = std::move(queue_.front());
       queue_.pop_front();
     }
-    done_(write.sequence, store_->Write(write));
+    auto written = store_->Write(write);
+    done_(write.sequence, written);
+    if (written) store_->Reclaim();
   }
 }
 
