--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -24,6 +24,7 @@
   role_ = Role::kFollower;
   if (term > term_) {
     term_ = term;
+    heard_round_ = 0;
     SetHardState(term, 0);
   }
   if (leader != leader_id_) out_.role_changed = true;
@@ -37,6 +38,7 @@
   leader_id_ = 0;
   votes_ = {self_.id};
   ResetElection(now);
+  pre_vote_round_ = ++round_;
   if (votes_.size() >= Majority()) {
     StartElection(now);
     return;
@@ -47,6 +49,7 @@
     m.term = term_ + 1;
     m.index = last_index();
     m.log_term = TermAt(last_index());
+    m.round = pre_vote_round_;
     Post(v.address(), std::move(m), false);
   }
 }
@@ -55,6 +58,7 @@
   role_ = Role::kCandidate;
   out_.role_changed = true;
   ++term_;
+  heard_round_ = 0;
   SetHardState(term_, self_.id);
   votes_ = {self_.id};
   ResetElection(now);
@@ -91,9 +95,25 @@
   Message reply = Make(MessageType::kPreVoteReply, m.from);
   reply.granted = current && !leader_alive && m.term > term_;
   reply.term = reply.granted ? m.term : term_;
+  reply.round = m.round;
   Post(from, std::move(reply), false);
 }
 
+// A grant is no promise, and may have been overtaken by a leader: only those of the pre-vote that
+// is under way count.
+void Machine::OnPreVoteReply(base::Millis now, const Message& m) {
+  if (!m.granted) {
+    if (m.term > term_) BecomeFollower(now, m.term, 0);
+    return;
+  }
+  if (role_ != Role::kPreCandidate || m.term != term_ + 1 || m.round != pre_vote_round_ ||
+      !IsVoter(m.from)) {
+    return;
+  }
+  votes_.insert(m.from);
+  if (votes_.size() >= Majority()) StartElection(now);
+}
+
 void Machine::OnRequestVote(base::Millis now, const Message& m, const base::Address& from) {
   bool current = m.log_term > TermAt(last_index()) ||
                  (m.log_term == TermAt(last_index()) && m.index >= last_index());
@@ -121,7 +141,15 @@
     if (!best || p.match > best->match) best = &p;
   }
   if (!best) return;
-  Post(best->member.address(), Make(MessageType::kTimeoutNow, best->member.id), false);
+  Message m = Make(MessageType::kTimeoutNow, best->member.id);
+  m.round = ++round_;
+  Post(best->member.address(), std::move(m), false);
+}
+
+// A leader that was heard after it handed over did not go.
+void Machine::OnTimeoutNow(base::Millis now, const Message& m) {
+  if (role_ != Role::kFollower || !IsVoter(self_.id) || m.round < heard_round_) return;
+  StartElection(now);
 }
 
 }  // namespace elderkeel::consensus
--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -26,7 +26,8 @@
       regions_(std::move(options.regions)),
       random_(options.seed),
       founders_(std::move(options.founders)),
-      now_(now) {
+      now_(now),
+      round_(random_.Next() >> 16) {  // replies to a former life fit nothing in this one
   if (restored.empty) {
     hard_.cluster = options.cluster;
     hard_.self = self_.id;
@@ -227,15 +228,7 @@
   }
   if (m.cluster != hard_.cluster) return;
   if (m.type == MessageType::kPreVote) return OnPreVote(now, m, from);
-  if (m.type == MessageType::kPreVoteReply) {
-    if (role_ == Role::kPreCandidate && m.granted && m.term == term_ + 1 && IsVoter(m.from)) {
-      votes_.insert(m.from);
-      if (votes_.size() >= Majority()) StartElection(now);
-    } else if (!m.granted && m.term > term_) {
-      BecomeFollower(now, m.term, 0);
-    }
-    return;
-  }
+  if (m.type == MessageType::kPreVoteReply) return OnPreVoteReply(now, m);
   if (m.term > term_) {
     bool from_leader =
         m.type == MessageType::kAppendEntries || m.type == MessageType::kInstallSnapshot;
@@ -262,8 +255,7 @@
     case MessageType::kInstallSnapshot:
       return OnInstallSnapshot(now, m, from);
     case MessageType::kTimeoutNow:
-      if (IsVoter(self_.id) && !leading()) StartElection(now);
-      return;
+      return OnTimeoutNow(now, m);
     default:
       return;
   }
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -151,6 +151,9 @@
   bool LiveMajorityWithout(base::Millis now, MemberId without) const;
 
   void HeardLeader(base::Millis now, const Message& m, const base::Address& from);
+  void CommitTo(Index index);
+  void OnPreVoteReply(base::Millis now, const Message& m);
+  void OnTimeoutNow(base::Millis now, const Message& m);
   void OnPreVote(base::Millis now, const Message& m, const base::Address& from);
   void OnRequestVote(base::Millis now, const Message& m, const base::Address& from);
   void OnRequestVoteReply(base::Millis now, const Message& m);
@@ -195,8 +198,10 @@
   base::Millis quorum_since_ = 0;
   base::Millis now_ = 0;
   std::set<MemberId> votes_;
+  uint64_t pre_vote_round_ = 0;  // of the pre-vote under way
+  uint64_t heard_round_ = 0;     // the newest heard from the leader of this term
   std::map<MemberId, Progress> progress_;
-  uint64_t round_ = 0;
+  uint64_t round_ = 0;  // of the newest message that is numbered
   std::vector<PendingRead> reads_;
   std::vector<Held> held_;
   Effects out_;
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -54,8 +54,9 @@
   if (!leading() || member.id == 0 || member.id == self_.id || IsVoter(member.id)) return;
   auto [at, added] = progress_.try_emplace(member.id);
   at->second.member = member;
-  at->second.heard = now;
   if (added) {
+    // From here on only its own replies show that it is there: a wish may be passed on late.
+    at->second.heard = now;
     at->second.next = last_index() + 1;
     SendAppendEntries(now, &at->second);
   }
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -50,7 +50,7 @@
   if (p->next <= snapshot_.index && At(p->next) == nullptr) {
     Message m = Make(MessageType::kInstallSnapshot, p->member.id);
     m.snapshot = {snapshot_};
-    m.round = round_;
+    m.round = ++round_;
     m.commit = commit_;
     p->next = snapshot_.index + 1;
     p->sent = now;
@@ -61,7 +61,7 @@
   m.index = p->next - 1;
   m.log_term = TermAt(m.index);
   m.commit = commit_;
-  m.round = round_;
+  m.round = ++round_;
   size_t bytes = 0;
   for (Index i = p->next; i <= last_index() && m.entries.size() < kMaxBatch; ++i) {
     const Entry* entry = At(i);
@@ -135,7 +135,16 @@
   }
 }
 
+void Machine::CommitTo(Index index) {
+  if (index <= commit_) return;
+  commit_ = index;
+  ApplyCommitted();
+}
+
+// What a leader sent before the newest that was heard of it, or twice, says nothing about now.
 void Machine::HeardLeader(base::Millis now, const Message& m, const base::Address& from) {
+  if (m.round <= heard_round_ && heard_round_ > 0) return;
+  heard_round_ = m.round;
   if (role_ != Role::kFollower || leader_id_ != m.from) BecomeFollower(now, m.term, m.from);
   fresh_ = false;
   leader_heard_ = now;
@@ -186,10 +195,7 @@
   }
   if (voters_touched) RefreshVoters();
   matched = std::max(matched, std::min(snapshot_.index, m.index + m.entries.size()));
-  if (m.commit > commit_) {
-    commit_ = std::max(commit_, std::min(m.commit, matched));
-    ApplyCommitted();
-  }
+  CommitTo(std::min(m.commit, matched));
   reply.granted = true;
   reply.index = matched;
   Post(from, std::move(reply), true);
--- a/src/consensus/snapshot.cc
+++ b/src/consensus/snapshot.cc
@@ -13,7 +13,10 @@
   if (m.snapshot.empty()) return;
   HeardLeader(now, m, from);
   const Snapshot& snapshot = m.snapshot[0];
-  if (snapshot.index > commit_) {
+  if (snapshot.index > commit_ && At(snapshot.index) && TermAt(snapshot.index) == snapshot.term) {
+    // The log leads to the same state, and what it holds after that may have been acknowledged.
+    CommitTo(snapshot.index);
+  } else if (snapshot.index > commit_) {
     snapshot_ = snapshot;
     log_.clear();
     commit_ = applied_ = persisted_ = snapshot_.index;
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -87,7 +87,9 @@
   Index index = 0;    // last or previous index
   Term log_term = 0;  // its term
   Index commit = 0;
-  uint64_t round = 0;  // echoed by replies; confirms reads
+  // Numbers what one member sends; replies echo it. It tells late replies and late messages apart
+  // from the newest, and confirms reads.
+  uint64_t round = 0;
   bool granted = false;
   std::vector<Entry> entries;
   std::vector<Snapshot> snapshot;  // none or one
