Consensus: no match goes back; a member that lost acknowledged entries counts for nothing

Cause: a rejection lowered `match` of its sender ("a learner that lost its disk and kept its id"). A late rejection took a counted acknowledgement back; and for a member whose log really went back it is proof of lost state, of its votes too perhaps, and it went on as a voter.

Change: a rejection counts for `next` only if it answers a newer message than any reply heard. `match` never goes back. A rejection that lacks what was acknowledged, to a message sent after the acknowledgement was heard, is proof: the leader names the member (`voter.lost_state`), counts it for nothing from then on (commits, reads, check-quorum, transfer, review of the voters) and answers it with kLostState. Told so, the member is silent, moves its store to log.lost and comes back empty, under a new id, by the ordinary way: join, catch up, replace the voter at the same address.

Ruled out: asking the member to check the claim. Entries that come late could make its log whole again while its votes stay lost. Not covered: a leader elected after the loss has heard no acknowledgement of that member and can't see it; and of three voters with one dead and one that lost state the leader gives up, since neither counts. Moving the store aside is not yet under test with a Replica.

--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -137,7 +137,7 @@
   if (!leading()) return;
   const Progress* best = nullptr;
   for (const auto& [id, p] : progress_) {
-    if (!p.voter || now - p.heard > timing_.election) continue;
+    if (!p.voter || p.lost_state || now - p.heard > timing_.election) continue;
     if (!best || p.match > best->match) best = &p;
   }
   if (!best) return;
--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -27,7 +27,7 @@
       random_(options.seed),
       founders_(std::move(options.founders)),
       now_(now),
-      round_(random_.Next() >> 16) {  // replies to a former life fit nothing in this one
+      round_(base::Random(~options.seed).Next() >> 16) {  // no reply to a former life fits
   if (restored.empty) {
     hard_.cluster = options.cluster;
     hard_.self = self_.id;
@@ -94,6 +94,12 @@
   return at == progress_.end() ? -1 : at->second.heard;
 }
 
+bool Machine::HeardWithin(base::Millis now, MemberId id, base::Millis span) const {
+  if (id == self_.id) return true;
+  auto at = progress_.find(id);
+  return at != progress_.end() && !at->second.lost_state && now - at->second.heard < span;
+}
+
 bool Machine::disk_stuck(base::Millis now) const {
   return broken_ ||
          (!write_since_.empty() && now - write_since_.begin()->second > timing_.disk_patience);
@@ -183,7 +189,7 @@
     // Check-quorum: a leader that hears no majority, or slept, must not think that it still leads.
     size_t heard = 0;
     for (const Member& v : voters_) {
-      if (v.id == self_.id || now - progress_[v.id].heard < timing_.election * 2) ++heard;
+      if (HeardWithin(now, v.id, timing_.election * 2)) ++heard;
     }
     if (heard >= Majority()) quorum_since_ = now;
     if (now - quorum_since_ > timing_.election || gap > timing_.election * 2) {
@@ -256,6 +262,8 @@
       return OnInstallSnapshot(now, m, from);
     case MessageType::kTimeoutNow:
       return OnTimeoutNow(now, m);
+    case MessageType::kLostState:
+      return OnLostState();
     default:
       return;
   }
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -55,6 +55,8 @@
     std::vector<Snapshot> installed;     // replaces all applied state; comes before `committed`
     std::vector<uint64_t> reads_ready;   // tokens given to Read()
     std::vector<uint64_t> reads_failed;  // leadership was lost first
+    std::vector<Member> lost_state;      // members found to lack what they had acknowledged
+    bool discard_store = false;  // this member is one: it must come back empty, under a new id
     bool role_changed = false;
   };
 
@@ -107,7 +109,10 @@
     Index next = 1;
     base::Millis heard = 0;
     base::Millis sent = 0;
-    uint64_t round = 0;
+    uint64_t round = 0;               // of its newest reply
+    uint64_t acknowledged_round = 0;  // our newest when `match` last grew
+    uint64_t rewound_round = 0;       // our newest when `next` last went back
+    bool lost_state = false;          // lacks what it had acknowledged: counts for nothing
     bool voter = false;
   };
   struct PendingRead {
@@ -146,6 +151,7 @@
   void ApplyCommitted();
   void AdvanceReads();
   void FailReads();
+  bool HeardWithin(base::Millis now, MemberId id, base::Millis span) const;
   void SyncProgress();
   void ReviewVoters(base::Millis now);
   bool LiveMajorityWithout(base::Millis now, MemberId without) const;
@@ -159,6 +165,8 @@
   void OnRequestVoteReply(base::Millis now, const Message& m);
   void OnAppendEntries(base::Millis now, const Message& m, const base::Address& from);
   void OnAppendEntriesReply(base::Millis now, const Message& m);
+  void OnRejected(base::Millis now, const Message& m, bool newest, Progress* p);
+  void OnLostState();
   void OnInstallSnapshot(base::Millis now, const Message& m, const base::Address& from);
 
   std::string ZoneOf(const Member& member) const {
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -67,9 +67,7 @@
   for (const Member& v : voters_) {
     if (v.id == without) continue;
     ++rest;
-    auto at = progress_.find(v.id);
-    live +=
-        v.id == self_.id || (at != progress_.end() && now - at->second.heard < timing_.election);
+    live += HeardWithin(now, v.id, timing_.election);
   }
   return rest > 0 && live >= rest / 2 + 1;
 }
@@ -101,7 +99,7 @@
     }
   }
   for (auto& [id, p] : progress_) {
-    if (p.voter || p.match < commit_ || now - p.heard > timing_.election) continue;
+    if (p.voter || p.lost_state || p.match < commit_ || now - p.heard > timing_.election) continue;
     for (const Member& v : voters_) {
       bool same_place = v.ip == p.member.ip;
       bool replaced = ZoneOf(v) == ZoneOf(p.member) && silent(v);
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -57,10 +57,7 @@
     if (!store) {
       // What can't be read is moved aside. This member comes back under a new identity, as after a
       // lost disk: its old votes can't be given twice.
-      std::error_code ignored;
-      std::filesystem::remove_all(directory + ".unreadable", ignored);
-      std::filesystem::rename(directory, directory + ".unreadable", ignored);
-      options_.bootstrap = false;
+      MoveAside(".unreadable");
       auto fresh = OpenDiskStore(directory);
       if (fresh) {
         store = std::move(*fresh);
@@ -110,10 +107,22 @@
   Pump();
 }
 
+// The next opening begins empty, under a new identity, and asks to be taken in.
+void Replica::MoveAside(const std::string& suffix) {
+  options_.bootstrap = false;
+  if (options_.data_dir.empty()) return;
+  std::string directory = options_.data_dir + "/log";
+  std::error_code ignored;
+  std::filesystem::remove_all(directory + suffix, ignored);
+  std::filesystem::rename(directory, directory + suffix, ignored);
+}
+
 // After a refused write nothing of this opening may be trusted: what the disk holds is read anew.
 void Replica::Reopen() {
   ++opening_;
   thread_.reset();
+  if (discard_store_) MoveAside(".lost");
+  discard_store_ = false;
   Open(false);
 }
 
@@ -124,7 +133,8 @@
     Machine::Effects effects = machine_->Take();
     bool any = !effects.messages.empty() || !effects.writes.empty() || !effects.committed.empty() ||
                !effects.installed.empty() || !effects.reads_ready.empty() ||
-               !effects.reads_failed.empty() || effects.role_changed;
+               !effects.reads_failed.empty() || !effects.lost_state.empty() ||
+               effects.discard_store || effects.role_changed;
     if (!any) break;
     for (Persist& write : effects.writes) thread_->Write(std::move(write));
     for (const auto& out : effects.messages) hooks_.send(out.to, out.message);
@@ -133,6 +143,16 @@
       if (entry.kind == EntryKind::kCommand) hooks_.apply(entry);
       if (entry.index == machine_->commit()) hooks_.caught_up();
     }
+    for (const Member& member : effects.lost_state) {
+      base::Warn("voter.lost_state", {{"member", member.id},
+                                      {"peer", member.address().ToString()},
+                                      {"voter", machine_->IsVoter(member.id)}});
+    }
+    if (effects.discard_store) {
+      base::Warn("store.lost_state", {{"member", machine_->self().id}});
+      discard_store_ = true;
+      reopen_.Start(loop_, kReopenMs, [this] { Reopen(); });
+    }
     if (effects.role_changed) hooks_.role_changed();
     for (uint64_t token : effects.reads_failed) hooks_.read_done(token, false);
     for (uint64_t token : effects.reads_ready) hooks_.read_done(token, true);
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -55,6 +55,7 @@
   void Open(bool first);
   void Pump();
   void Reopen();
+  void MoveAside(const std::string& suffix);
 
   base::Loop* loop_;
   Options options_;
@@ -65,6 +66,7 @@
   base::Timer reopen_;
   uint64_t opening_ = 0;  // tells finished writes of an earlier opening apart
   bool pumping_ = false;
+  bool discard_store_ = false;
 };
 
 }  // namespace elderkeel::consensus
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -42,6 +42,13 @@
 }
 
 void Machine::SendAppendEntries(base::Millis now, Progress* p) {
+  if (p->lost_state) {
+    Message m = Make(MessageType::kLostState, p->member.id);
+    m.index = p->match;
+    m.round = ++round_;
+    Post(p->member.address(), std::move(m), false);
+    return;
+  }
   // What was sent and not acknowledged for a while was lost with its connection.
   if (p->next > p->match + 1 && now - p->sent > timing_.heartbeat * 4 &&
       now - p->heard > timing_.heartbeat * 4) {
@@ -78,7 +85,7 @@
 Index Machine::Synced(const Member& voter) const {
   if (voter.id == self_.id) return persisted_;
   auto at = progress_.find(voter.id);
-  return at == progress_.end() ? 0 : at->second.match;
+  return at == progress_.end() || at->second.lost_state ? 0 : at->second.match;
 }
 
 // A majority decides; what it decided must also outlive the loss that is tolerated. Both matter: of
@@ -206,11 +213,14 @@
   auto at = progress_.find(m.from);
   if (at == progress_.end()) return;
   Progress& p = at->second;
+  if (p.lost_state) return;
   p.heard = now;
+  bool newest = m.round > p.round;
   p.round = std::max(p.round, m.round);
   if (m.granted) {
     if (m.index > p.match) {
-      p.match = m.index;
+      p.match = std::min(m.index, last_index());
+      p.acknowledged_round = round_;
       AdvanceCommit(now);
       if (!leading()) return;
       at = progress_.find(m.from);
@@ -219,11 +229,33 @@
     at->second.next = std::max(at->second.next, at->second.match + 1);
     if (at->second.next <= last_index()) SendAppendEntries(now, &at->second);
   } else {
-    p.next = std::max<Index>(1, std::min(m.index + 1, p.next));
-    if (p.match >= p.next) p.match = p.next - 1;  // a learner that lost its disk and kept its id
-    SendAppendEntries(now, &p);
+    OnRejected(now, m, newest, &p);
   }
   AdvanceReads();
 }
 
+// `m.index` is the last entry that the member may share with us. What it acknowledged is synced, so
+// a rejection below that is either older than the acknowledgement, or the member has lost it.
+void Machine::OnRejected(base::Millis now, const Message& m, bool newest, Progress* p) {
+  if (m.index < p->match) {
+    if (m.round <= p->acknowledged_round) return;
+    p->lost_state = true;
+    p->round = 0;  // nor does it confirm reads
+    out_.lost_state.push_back(p->member);
+    SendAppendEntries(now, p);
+  } else if (newest && m.round > p->rewound_round && m.index + 1 < p->next) {
+    p->next = m.index + 1;
+    p->rewound_round = round_;
+    SendAppendEntries(now, p);
+  }
+}
+
+// The leader has proof that this member acknowledged what it no longer holds. Its votes may be gone
+// as well, so this identity ends here; what is left of it is of no use.
+void Machine::OnLostState() {
+  broken_ = true;
+  held_.clear();
+  out_.discard_store = true;
+}
+
 }  // namespace elderkeel::consensus
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -76,6 +76,7 @@
   kAppendEntriesReply,
   kInstallSnapshot,
   kTimeoutNow,
+  kLostState,  // to a member that no longer holds what it had acknowledged
 };
 
 struct Message {
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -1,10 +1,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
 #include "consensus/machine.h"
+#include "wire/frame.h"
 
 // The consensus machine by itself: messages as a network may deliver them (late, twice, out of
 // order, over two connections), and what its store holds after each.
@@ -44,11 +47,17 @@
 
 // A member of three with its disk. Its writes are synced as soon as they are made.
 struct Node {
-  explicit Node(MemberId id, Restored restored = {}, Millis now = 0) : disk(std::move(restored)) {
+  // `joiner`: the id under which it begins anew at that place; 0 for a founder.
+  explicit Node(MemberId id, Restored restored = {}, Millis now = 0, MemberId joiner = 0)
+      : disk(std::move(restored)) {
     Machine::Options options;
     options.self = Founder(id);
-    options.cluster = 7;
-    for (MemberId k = 1; k <= 3; ++k) options.founders.push_back(Founder(k));
+    if (joiner) {
+      options.self.id = joiner;
+    } else {
+      options.cluster = 7;
+      for (MemberId k = 1; k <= 3; ++k) options.founders.push_back(Founder(k));
+    }
     options.seed = id;
     machine = std::make_unique<Machine>(options, disk, now);
     Take(now);
@@ -58,6 +67,9 @@
     std::vector<Message> messages;
     for (;;) {
       Machine::Effects e = machine->Take();
+      discard_store |= e.discard_store;
+      for (const Member& m : e.lost_state) lost.push_back(m.id);
+      reads.insert(reads.end(), e.reads_ready.begin(), e.reads_ready.end());
       if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty()) {
         break;
       }
@@ -68,6 +80,7 @@
       }
       for (const auto& entry : e.committed) applied = entry.index;
       for (const auto& write : e.writes) {
+        if (hangs) continue;
         Store(&disk, write);
         machine->Persisted(now, write.sequence, true);
       }
@@ -87,6 +100,10 @@
   std::unique_ptr<Machine> machine;
   std::vector<Snapshot> installed;
   Index applied = 0;
+  std::vector<MemberId> lost;  // as it named them
+  std::vector<uint64_t> reads;
+  bool discard_store = false;
+  bool hangs = false;  // the disk
 };
 
 Message From(MemberId from, MemberId to, MessageType type, Term term) {
@@ -309,5 +326,229 @@
   }
 }
 
+Message Reply(const Message& to, bool granted, Index index) {
+  Message m = From(to.to, to.from, MessageType::kAppendEntriesReply, to.term);
+  m.granted = granted;
+  m.index = index;
+  m.round = to.round;
+  return m;
+}
+
+const Message* To(const std::vector<Message>& messages, MemberId id) {
+  for (const Message& m : messages) {
+    if (m.to == id) return &m;
+  }
+  return nullptr;
+}
+
+// A rejection that is older than what its sender acknowledged since, or comes twice, moves nothing:
+// what is sent next goes on where the acknowledgement ended.
+TEST(Leader, IsNotMovedByLateRejections) {
+  struct Case {
+    const char* name;
+    bool twice;
+    int probe;  // the heartbeat that is rejected: 0 before, 1 after the entries were sent
+  } cases[] = {
+      {"sent before the entries", false, 0},
+      {"the same, twice", true, 0},
+      {"sent after the entries, and it overtook them", false, 1},
+      {"the same, twice", true, 1},
+  };
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    Leader leader;
+    Message before = leader.Heartbeat()[2];
+    std::vector<Message> sent = leader.Propose("x");
+    Message entries = *To(sent, 2);
+    Index index = entries.entries.back().index;
+    Message after = leader.Heartbeat()[2];
+    leader.Receive(leader.now, Reply(entries, true, index));
+    EXPECT_EQ(leader.machine->commit(), index);
+    Message late = Reply(c.probe ? after : before, false, 0);
+    for (int k = 0; k <= c.twice; ++k) {
+      EXPECT_TRUE(leader.Receive(leader.now, late).empty());
+    }
+    EXPECT_EQ(leader.Heartbeat()[2].index, index);
+    EXPECT_EQ(leader.machine->commit(), index);
+    EXPECT_TRUE(leader.lost.empty());
+  }
+}
+
+// A voter whose log went back behind what it had acknowledged is named, told, and counts neither
+// for commits nor for the quorum that keeps a leader.
+TEST(Leader, CountsNoVoterThatLostWhatItAcknowledged) {
+  Leader leader;
+  std::vector<Message> sent = leader.Propose("x");
+  Index index = To(sent, 2)->entries.back().index;
+  for (const Message& m : sent) leader.Grant(m);
+  ASSERT_EQ(leader.machine->commit(), index);
+  Message probe = leader.Heartbeat()[2];
+  ASSERT_EQ(probe.index, index);
+  sent = leader.Receive(leader.now, Reply(probe, false, index - 1));
+  ASSERT_EQ(leader.lost, std::vector<MemberId>{2});
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_EQ(sent[0].type, MessageType::kLostState);
+  // Whatever it acknowledges now: its copy is none.
+  sent = leader.Propose("y");
+  Message later = probe;
+  later.round = sent[0].round;
+  leader.Receive(leader.now, Reply(later, true, index + 1));
+  EXPECT_EQ(leader.machine->commit(), index);
+  leader.machine->Read(leader.now, 5);
+  for (const Message& m : leader.Take(leader.now)) {
+    if (m.to == 2) leader.Receive(leader.now, Reply(m, true, index + 1));
+  }
+  EXPECT_TRUE(leader.reads.empty());
+  // Nor is its voice one of a majority: the leader hears nobody else, and gives up.
+  for (int k = 0; k < 30; ++k) {
+    for (const auto& [to, m] : leader.Heartbeat()) {
+      if (to != 2 || !leader.machine->leading()) continue;
+      EXPECT_EQ(m.type, MessageType::kLostState);
+      leader.Receive(leader.now, Reply(m, true, index + 1));
+    }
+  }
+  EXPECT_FALSE(leader.machine->leading());
+  EXPECT_EQ(leader.lost.size(), 1u);
+}
+
+// Also when the loss shows between its acknowledgement and what else the commit waited for.
+TEST(Leader, CountsNoAcknowledgementThatWasLostBeforeTheCommit) {
+  Leader leader;
+  leader.hangs = true;
+  ASSERT_TRUE(leader.machine->Propose(leader.now, "x").has_value());
+  Machine::Effects e = leader.machine->Take();
+  ASSERT_EQ(e.writes.size(), 1u);
+  Message entries;
+  for (const auto& out : e.messages) {
+    if (out.message.to == 2) entries = out.message;
+  }
+  Index index = entries.entries.back().index;
+  leader.Receive(leader.now, Reply(entries, true, index));
+  Message probe = leader.Heartbeat()[2];
+  leader.Receive(leader.now, Reply(probe, false, index - 1));
+  EXPECT_EQ(leader.lost, std::vector<MemberId>{2});
+  leader.machine->Persisted(leader.now, e.writes[0].sequence, true);
+  EXPECT_EQ(leader.machine->commit(), index - 1);
+}
+
+// The member that is told so ends its part and asks for a new identity.
+TEST(Follower, EndsItsIdentityWhenToldThatItLostState) {
+  Node node(2);
+  node.Receive(10, Entries(2, 1, 2, 5, 1, 1));
+  Message old = From(1, 2, MessageType::kLostState, 1);
+  node.Receive(20, old);
+  Message other = From(1, 3, MessageType::kLostState, 2);
+  node.Receive(20, other);
+  EXPECT_FALSE(node.machine->broken());
+  node.Receive(30, From(1, 2, MessageType::kLostState, 2));
+  EXPECT_TRUE(node.machine->broken());
+  EXPECT_TRUE(node.discard_store);
+  EXPECT_TRUE(node.Receive(40, Entries(2, 2, 6, 6, 1, 3)).empty());
+  for (Millis now = 50; now < 3000; now += 10) EXPECT_TRUE(node.Tick(now).empty());
+}
+
+// Members with links between them. Each link delivers in order; one may be slow, and frames may be
+// lost or connections with all that is under way on them.
+struct Cluster {
+  explicit Cluster(size_t size = 3) {
+    for (MemberId id = 1; id <= size; ++id) nodes.push_back(std::make_unique<Node>(id));
+  }
+  Node* Of(MemberId id) {
+    for (auto& node : nodes) {
+      if (node && node->machine->self().id == id) return node.get();
+    }
+    return nullptr;
+  }
+  Node* leader() {
+    for (auto& node : nodes) {
+      if (node && node->machine->settled()) return node.get();
+    }
+    return nullptr;
+  }
+  void Send(std::vector<Message> messages) {
+    for (Message& m : messages) {
+      Link& link = links[{m.from, m.to}];
+      if (loses && loses(m)) continue;
+      size_t bytes = wire::Encode(m).size();
+      link.free_at = std::max<double>(link.free_at, static_cast<double>(now));
+      if (link.bytes_per_ms > 0) link.free_at += static_cast<double>(bytes) / link.bytes_per_ms;
+      link.queued += bytes;
+      link.most_queued = std::max(link.most_queued, link.queued);
+      link.sent += bytes;
+      link.frames.push_back({static_cast<Millis>(link.free_at) + link.delay, bytes, std::move(m)});
+    }
+  }
+  void Run(Millis span) {
+    for (Millis end = now + span; now < end;) {
+      now += 10;
+      for (auto& node : nodes) {
+        if (node) Send(node->Tick(now));
+      }
+      for (auto& [ends, link] : links) {
+        while (!link.frames.empty() && link.frames.front().at <= now) {
+          Frame frame = std::move(link.frames.front());
+          link.frames.pop_front();
+          link.queued -= frame.bytes;
+          if (Node* node = Of(frame.message.to)) {
+            Send(node->Receive(now, frame.message));
+            if (heard) heard(frame.message);
+          }
+        }
+      }
+    }
+  }
+  struct Frame {
+    Millis at;
+    size_t bytes;
+    Message message;
+  };
+  struct Link {
+    double bytes_per_ms = 0;  // 0: no limit
+    Millis delay = 5;
+    double free_at = 0;
+    size_t queued = 0, most_queued = 0, sent = 0;
+    std::deque<Frame> frames;
+    void Break() {
+      frames.clear();
+      queued = 0;
+      free_at = 0;
+    }
+  };
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::map<std::pair<MemberId, MemberId>, Link> links;
+  std::function<bool(const Message&)> loses;
+  std::function<void(const Message&)> heard;
+  Millis now = 0;
+};
+
+// From the loss to the new identity: the disk of one went back while it was away.
+TEST(Leader, TakesAVoterThatLostStateInAgainUnderANewIdentity) {
+  Cluster cluster;
+  cluster.Run(2000);
+  Node* leader = cluster.leader();
+  ASSERT_NE(leader, nullptr);
+  size_t slot = leader->machine->self().id == 2 ? 2 : 1;
+  MemberId id = slot + 1;
+  Restored before = cluster.nodes[slot]->disk;
+  ASSERT_TRUE(leader->machine->Propose(cluster.now, "x").has_value());
+  cluster.Run(500);
+  Index acknowledged = leader->machine->commit();
+  ASSERT_EQ(LastOf(cluster.nodes[slot]->disk), acknowledged);
+  ASSERT_LT(LastOf(before), acknowledged);
+  EXPECT_TRUE(leader->lost.empty());
+  cluster.nodes[slot] = std::make_unique<Node>(id, before, cluster.now);
+  cluster.Run(300);
+  EXPECT_EQ(leader->lost, std::vector<MemberId>{id});
+  EXPECT_TRUE(cluster.nodes[slot]->discard_store);
+  cluster.nodes[slot] = std::make_unique<Node>(id, Restored(), cluster.now, 77);
+  leader->machine->Join(cluster.now, cluster.nodes[slot]->machine->self());
+  cluster.Run(2000);
+  EXPECT_EQ(cluster.leader(), leader);
+  EXPECT_TRUE(leader->machine->IsVoter(77));
+  EXPECT_FALSE(leader->machine->IsVoter(id));
+  EXPECT_EQ(leader->machine->voters().size(), 3u);
+  EXPECT_GE(LastOf(cluster.nodes[slot]->disk), acknowledged);
+}
+
 }  // namespace
 }  // namespace elderkeel::consensus
