--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -26,7 +26,8 @@
       regions_(std::move(options.regions)),
       random_(options.seed),
       founders_(std::move(options.founders)),
-      now_(now) {
+      now_(now),
+      round_(base::Random(~options.seed).Next() >> 16) {  // no reply to a former life fits
   if (restored.empty) {
     hard_.cluster = options.cluster;
     hard_.self = self_.id;
@@ -93,6 +94,12 @@
   return at == progress_.end() ? -1 : at->second.heard;
 }
 
+bool Machine::HeardWithin(base::Millis now, MemberId id, base::Millis span) const {
+  if (id == self_.id) return true;
+  auto at = progress_.find(id);
+  return at != progress_.end() && !at->second.lost_state && now - at->second.heard < span;
+}
+
 bool Machine::disk_stuck(base::Millis now) const {
   return broken_ ||
          (!write_since_.empty() && now - write_since_.begin()->second > timing_.disk_patience);
@@ -182,7 +189,7 @@
     // Check-quorum: a leader that hears no majority, or slept, must not think that it still leads.
     size_t heard = 0;
     for (const Member& v : voters_) {
-      if (v.id == self_.id || now - progress_[v.id].heard < timing_.election * 2) ++heard;
+      if (HeardWithin(now, v.id, timing_.election * 2)) ++heard;
     }
     if (heard >= Majority()) quorum_since_ = now;
     if (now - quorum_since_ > timing_.election || gap > timing_.election * 2) {
@@ -235,15 +242,7 @@
   }
   if (m.cluster != hard_.cluster) return;
   if (m.type == MessageType::kPreVote) return OnPreVote(now, m, from);
-  if (m.type == MessageType::kPreVoteReply) {
-    if (role_ == Role::kPreCandidate && m.granted && m.term == term_ + 1 && IsVoter(m.from)) {
-      votes_.insert(m.from);
-      if (votes_.size() >= Majority()) StartElection(now);
-    } else if (!m.granted && m.term > term_) {
-      BecomeFollower(now, m.term, 0);
-    }
-    return;
-  }
+  if (m.type == MessageType::kPreVoteReply) return OnPreVoteReply(now, m);
   if (m.term > term_) {
     bool from_leader =
         m.type == MessageType::kAppendEntries || m.type == MessageType::kInstallSnapshot;
@@ -270,13 +269,14 @@
     case MessageType::kInstallSnapshot:
       return OnInstallSnapshot(now, m, from);
     case MessageType::kTimeoutNow:
-      if (IsVoter(self_.id) && !leading() && !leaving_) StartElection(now);
-      return;
+      return OnTimeoutNow(now, m);
     case MessageType::kLeave:
       return OnLeave(now, m, from);
     case MessageType::kLeaveReply:
       departed_ |= leaving_ && m.granted;
       return;
+    case MessageType::kLostState:
+      return OnLostState();
     default:
       return;
   }
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -54,8 +54,9 @@
   if (!leading() || member.id == 0 || member.id == self_.id || IsVoter(member.id)) return;
   auto [at, added] = progress_.try_emplace(member.id);
   at->second.member = member;
-  at->second.heard = now;
   if (added) {
+    // From here on only its own replies show that it is there: a wish may be passed on late.
+    at->second.heard = now;
     at->second.next = last_index() + 1;
     SendAppendEntries(now, &at->second);
   }
@@ -66,9 +67,7 @@
   for (const Member& v : voters_) {
     if (v.id == without) continue;
     ++rest;
-    auto at = progress_.find(v.id);
-    live +=
-        v.id == self_.id || (at != progress_.end() && now - at->second.heard < timing_.election);
+    live += HeardWithin(now, v.id, timing_.election);
   }
   return rest > 0 && live >= rest / 2 + 1;
 }
@@ -143,7 +142,8 @@
     }
   }
   for (auto& [id, p] : progress_) {
-    if (p.voter || p.match < commit_ || now - p.heard > timing_.election || Leaving(p)) continue;
+    if (p.voter || p.lost_state || p.match < commit_ || Leaving(p)) continue;
+    if (now - p.heard > timing_.election) continue;
     for (const Member& v : voters_) {
       if (v.id == self_.id) continue;
       bool same_place = v.ip == p.member.ip;
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -78,6 +78,7 @@
   kTimeoutNow,
   kLeave,       // a voter that is about to end gives up its vote
   kLeaveReply,  // granted: what it holds is elsewhere, it may end
+  kLostState,  // to a member that no longer holds what it had acknowledged
 };
 
 struct Message {
@@ -89,7 +90,9 @@
   Index index = 0;    // last or previous index
   Term log_term = 0;  // its term
   Index commit = 0;
-  uint64_t round = 0;  // echoed by replies; confirms reads
+  // Numbers what one member sends; replies echo it. It tells late replies and late messages apart
+  // from the newest, and confirms reads.
+  uint64_t round = 0;
   bool granted = false;
   std::vector<Entry> entries;
   std::vector<Snapshot> snapshot;  // none or one
--- /dev/null
+++ b/tests/consensus_test.cc
@@ -0,0 +1,554 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "consensus/machine.h"
+#include "wire/frame.h"
+
+// The consensus machine by itself: messages as a network may deliver them (late, twice, out of
+// order, over two connections), and what its store holds after each.
+
+namespace elderkeel::consensus {
+namespace {
+
+using base::Millis;
+
+Member Founder(MemberId id) {
+  Member m;
+  m.id = id;
+  m.ip = "10.0.0." + std::to_string(id);
+  m.port = 7200;
+  m.zone = std::string(1, static_cast<char>('a' + id));
+  return m;
+}
+
+// What a store would hold after `write`.
+void Store(Restored* disk, const Persist& write) {
+  disk->empty = false;
+  if (write.hard_changed) disk->hard = write.hard;
+  if (!write.snapshot.empty()) disk->snapshot = write.snapshot[0];
+  auto drop = [&](auto gone) {
+    disk->entries.erase(std::remove_if(disk->entries.begin(), disk->entries.end(), gone),
+                        disk->entries.end());
+  };
+  if (write.drop_to) drop([&](const Entry& e) { return e.index <= write.drop_to; });
+  if (write.truncate_from) drop([&](const Entry& e) { return e.index >= write.truncate_from; });
+  disk->entries.insert(disk->entries.end(), write.entries.begin(), write.entries.end());
+  if (write.commit) disk->commit = write.commit;
+}
+
+Index LastOf(const Restored& disk) {
+  return disk.entries.empty() ? disk.snapshot.index : disk.entries.back().index;
+}
+
+// A member of three with its disk. Its writes are synced as soon as they are made.
+struct Node {
+  // `joiner`: the id under which it begins anew at that place; 0 for a founder.
+  explicit Node(MemberId id, Restored restored = {}, Millis now = 0, MemberId joiner = 0)
+      : disk(std::move(restored)) {
+    Machine::Options options;
+    options.self = Founder(id);
+    if (joiner) {
+      options.self.id = joiner;
+    } else {
+      options.cluster = 7;
+      for (MemberId k = 1; k <= 3; ++k) options.founders.push_back(Founder(k));
+    }
+    options.seed = id;
+    machine = std::make_unique<Machine>(options, disk, now);
+    Take(now);
+  }
+  // Syncs what is to be written; all messages up to now.
+  std::vector<Message> Take(Millis now) {
+    std::vector<Message> messages;
+    for (;;) {
+      Machine::Effects e = machine->Take();
+      discard_store |= e.discard_store;
+      for (const Member& m : e.lost_state) lost.push_back(m.id);
+      reads.insert(reads.end(), e.reads_ready.begin(), e.reads_ready.end());
+      if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty()) {
+        break;
+      }
+      for (const auto& out : e.messages) messages.push_back(out.message);
+      for (const auto& snapshot : e.installed) {
+        installed.push_back(snapshot);
+        applied = snapshot.index;
+      }
+      for (const auto& entry : e.committed) applied = entry.index;
+      for (const auto& write : e.writes) {
+        if (hangs) continue;
+        Store(&disk, write);
+        machine->Persisted(now, write.sequence, true);
+      }
+    }
+    return messages;
+  }
+  std::vector<Message> Receive(Millis now, const Message& m) {
+    machine->Receive(now, m, Founder(m.from).address());
+    return Take(now);
+  }
+  std::vector<Message> Tick(Millis now) {
+    machine->Tick(now);
+    return Take(now);
+  }
+
+  Restored disk;
+  std::unique_ptr<Machine> machine;
+  std::vector<Snapshot> installed;
+  Index applied = 0;
+  std::vector<MemberId> lost;  // as it named them
+  std::vector<uint64_t> reads;
+  bool discard_store = false;
+  bool hangs = false;  // the disk
+};
+
+Message From(MemberId from, MemberId to, MessageType type, Term term) {
+  Message m;
+  m.type = type;
+  m.cluster = 7;
+  m.from = from;
+  m.to = to;
+  m.term = term;
+  return m;
+}
+
+// Entries first..last of `term`, after entry first - 1 of `log_term`, as its leader sends them.
+Message Entries(Term term, Term log_term, Index first, Index last, Index commit, uint64_t round) {
+  Message m = From(1, 2, MessageType::kAppendEntries, term);
+  m.index = first - 1;
+  m.log_term = log_term;
+  m.commit = commit;
+  m.round = round;
+  for (Index i = first; i <= last; ++i) {
+    m.entries.push_back({term, i, EntryKind::kCommand, "e" + std::to_string(i)});
+  }
+  return m;
+}
+
+Message SnapshotUpTo(Term term, Term log_term, Index index, uint64_t round) {
+  Message m = From(1, 2, MessageType::kInstallSnapshot, term);
+  Snapshot snapshot;
+  snapshot.index = index;
+  snapshot.term = log_term;
+  for (MemberId k = 1; k <= 3; ++k) snapshot.voters.push_back(Founder(k));
+  snapshot.state = "state at " + std::to_string(index);
+  m.snapshot = {snapshot};
+  m.commit = index;
+  m.round = round;
+  return m;
+}
+
+TEST(InstallSnapshot, KeepsWhatTheLogHoldsAfterIt) {
+  struct Case {
+    const char* name;
+    Index held;          // acknowledged entries of term 2 up to here
+    Term snapshot_term;  // of the entry at `index`
+    Index index;
+    Index last;  // afterwards, in memory and on disk
+    bool installed;
+  } cases[] = {
+      {"late: acknowledged entries stay", 200, 2, 100, 200, false},
+      {"at the end of the log", 200, 2, 200, 200, false},
+      {"after the end of the log", 200, 2, 250, 250, true},
+      {"the log has another entry there", 200, 3, 100, 100, true},
+  };
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    Node node(2);
+    auto replies = node.Receive(10, Entries(2, 1, 2, c.held, 1, 1));
+    ASSERT_EQ(replies.size(), 1u);
+    ASSERT_TRUE(replies[0].granted);
+    ASSERT_EQ(replies[0].index, c.held);
+    // The same leader's snapshot, which another connection delivers only now.
+    Term term = c.snapshot_term;
+    replies = node.Receive(20, SnapshotUpTo(term, c.snapshot_term, c.index, 2));
+    ASSERT_EQ(replies.size(), 1u);
+    EXPECT_TRUE(replies[0].granted);
+    EXPECT_EQ(replies[0].index, c.index);
+    EXPECT_EQ(node.machine->last_index(), c.last);
+    EXPECT_EQ(LastOf(node.disk), c.last);
+    EXPECT_EQ(node.machine->commit(), c.index);
+    EXPECT_EQ(node.applied, c.index);
+    EXPECT_EQ(!node.installed.empty() && node.installed.back().index == c.index, c.installed);
+    Node again(2, node.disk, 30);
+    EXPECT_EQ(again.machine->last_index(), c.last);
+  }
+}
+
+// What a follower does with messages that come late, twice or out of order: its log, its term and
+// its role stay, and no election is put off or begun.
+TEST(Follower, IsNotMovedByLateMessages) {
+  struct Case {
+    const char* name;
+    Message message;
+  };
+  Message timeout_now = From(1, 2, MessageType::kTimeoutNow, 2);
+  timeout_now.round = 3;
+  Message old_timeout_now = From(1, 2, MessageType::kTimeoutNow, 1);
+  Message prevote_reply = From(3, 2, MessageType::kPreVoteReply, 3);
+  prevote_reply.granted = true;
+  Message vote_reply = From(3, 2, MessageType::kRequestVoteReply, 2);
+  vote_reply.granted = true;
+  Message append_reply = From(3, 2, MessageType::kAppendEntriesReply, 2);
+  append_reply.granted = true;
+  append_reply.index = 9;
+  Case cases[] = {
+      {"entries of the same term that it has", Entries(2, 1, 2, 5, 1, 1)},
+      {"a heartbeat of before", Entries(2, 2, 6, 5, 1, 2)},
+      {"entries again, with an old commit", Entries(2, 2, 6, 9, 2, 4)},
+      {"a snapshot below its commit", SnapshotUpTo(2, 2, 3, 2)},
+      {"an old leader's entries", Entries(1, 1, 2, 30, 9, 90)},
+      {"an old leader's snapshot", SnapshotUpTo(1, 1, 30, 90)},
+      {"leadership handed over before the newest heartbeat", timeout_now},
+      {"leadership handed over in an older term", old_timeout_now},
+      {"a pre-vote's answer that it no longer waits for", prevote_reply},
+      {"a vote that it no longer asks for", vote_reply},
+      {"an acknowledgement to a leader that it is not", append_reply},
+  };
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    Node node(2);
+    node.Receive(10, Entries(2, 1, 2, 5, 1, 1));
+    node.Receive(20, Entries(2, 2, 6, 9, 5, 4));
+    node.Receive(30, Entries(2, 2, 10, 9, 5, 5));
+    Restored disk = node.disk;
+    for (int twice = 0; twice < 2; ++twice) {
+      for (const Message& reply : node.Receive(400, c.message)) {
+        EXPECT_EQ(reply.type, MessageType::kAppendEntriesReply);
+      }
+    }
+    EXPECT_EQ(node.machine->role(), Role::kFollower);
+    EXPECT_EQ(node.machine->term(), 2u);
+    EXPECT_EQ(node.machine->last_index(), 9u);
+    EXPECT_EQ(node.machine->commit(), 5u);
+    EXPECT_EQ(node.machine->leader_heard(), 30);
+    EXPECT_EQ(node.disk.hard.term, 2u);
+    EXPECT_EQ(LastOf(node.disk), LastOf(disk));
+    // Its election is due when it would have been without them.
+    Millis due = 0;
+    for (Millis now = 410; now < 2000 && !due; now += 10) {
+      node.Tick(now);
+      if (node.machine->role() != Role::kFollower) due = now;
+    }
+    EXPECT_GT(due, 0);
+    EXPECT_LE(due, 30 + 1200 + 10);
+  }
+}
+
+// An answer to an earlier pre-vote says nothing about the newer one.
+TEST(PreVote, CountsOnlyTheAnswersToItself) {
+  Node node(2);
+  node.Receive(10, Entries(2, 1, 2, 5, 5, 1));
+  std::vector<Message> asked;
+  Millis now = 10;
+  auto next = [&] {
+    for (asked.clear(); asked.empty() && now < 9000;) {
+      for (const Message& m : node.Tick(now += 10)) {
+        if (m.type == MessageType::kPreVote) asked.push_back(m);
+      }
+    }
+  };
+  next();
+  ASSERT_EQ(asked.size(), 2u);
+  auto answer = [&](const Message& m) {
+    Message reply = From(m.to, 2, MessageType::kPreVoteReply, m.term);
+    reply.granted = true;
+    reply.round = m.round;
+    node.Receive(now, reply);
+  };
+  Message first = asked[0];
+  next();
+  ASSERT_EQ(asked.size(), 2u);
+  answer(first);
+  EXPECT_EQ(node.machine->role(), Role::kPreCandidate);
+  EXPECT_EQ(node.machine->term(), 2u);
+  answer(asked[0]);
+  EXPECT_EQ(node.machine->role(), Role::kCandidate);
+  EXPECT_EQ(node.machine->term(), 3u);
+}
+
+// A leader, 1 of three, with members whose answers the test gives.
+struct Leader : Node {
+  Leader() : Node(1) {
+    for (; now < 5000 && !machine->settled(); now += 10) {
+      for (const Message& m : Node::Tick(now)) Grant(m);
+    }
+    EXPECT_TRUE(machine->settled());
+  }
+  // As a member that is as it should be answers.
+  void Grant(const Message& m) {
+    Message reply = From(m.to, 1, MessageType::kAppendEntriesReply, m.term);
+    if (m.type == MessageType::kPreVote) reply.type = MessageType::kPreVoteReply;
+    if (m.type == MessageType::kRequestVote) reply.type = MessageType::kRequestVoteReply;
+    reply.granted = true;
+    reply.round = m.round;
+    reply.index = m.entries.empty() ? m.index : m.entries.back().index;
+    for (const Message& more : Receive(now, reply)) Grant(more);
+  }
+  std::vector<Message> Propose(const std::string& text) {
+    EXPECT_TRUE(machine->Propose(now, text).has_value());
+    return Take(now);
+  }
+  // The messages of the next round of heartbeats, by member.
+  std::map<MemberId, Message> Heartbeat() {
+    std::map<MemberId, Message> found;
+    for (Millis end = now + 130; now < end && found.empty();) {
+      for (const Message& m : Node::Tick(now += 10)) found[m.to] = m;
+    }
+    return found;
+  }
+  Millis now = 0;
+};
+
+// A learner that was caught up and is gone is not made a voter because somebody passes its old wish
+// on late.
+TEST(Join, ALateOneBringsNoVoteToALearnerThatIsGone) {
+  Leader leader;
+  Member learner = Founder(9);
+  learner.ip = "10.0.0.2";  // where the voter 2 was
+  leader.machine->Join(leader.now, learner);
+  std::vector<Message> sent = leader.Take(leader.now);
+  ASSERT_EQ(sent.size(), 1u);
+  leader.Grant(sent[0]);  // caught up; then it is gone
+  ASSERT_EQ(leader.machine->learners().size(), 1u);
+  leader.now += 700;
+  for (int k = 0; k < 8; ++k) {
+    leader.machine->Join(leader.now, learner);
+    for (const auto& [to, m] : leader.Heartbeat()) {
+      if (to != 9) leader.Grant(m);
+    }
+    ASSERT_TRUE(leader.machine->leading());
+    for (const Member& v : leader.machine->voters()) EXPECT_NE(v.id, 9u);
+  }
+}
+
+Message Reply(const Message& to, bool granted, Index index) {
+  Message m = From(to.to, to.from, MessageType::kAppendEntriesReply, to.term);
+  m.granted = granted;
+  m.index = index;
+  m.round = to.round;
+  return m;
+}
+
+const Message* To(const std::vector<Message>& messages, MemberId id) {
+  for (const Message& m : messages) {
+    if (m.to == id) return &m;
+  }
+  return nullptr;
+}
+
+// A rejection that is older than what its sender acknowledged since, or comes twice, moves nothing:
+// what is sent next goes on where the acknowledgement ended.
+TEST(Leader, IsNotMovedByLateRejections) {
+  struct Case {
+    const char* name;
+    bool twice;
+    int probe;  // the heartbeat that is rejected: 0 before, 1 after the entries were sent
+  } cases[] = {
+      {"sent before the entries", false, 0},
+      {"the same, twice", true, 0},
+      {"sent after the entries, and it overtook them", false, 1},
+      {"the same, twice", true, 1},
+  };
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    Leader leader;
+    Message before = leader.Heartbeat()[2];
+    std::vector<Message> sent = leader.Propose("x");
+    Message entries = *To(sent, 2);
+    Index index = entries.entries.back().index;
+    Message after = leader.Heartbeat()[2];
+    leader.Receive(leader.now, Reply(entries, true, index));
+    EXPECT_EQ(leader.machine->commit(), index);
+    Message late = Reply(c.probe ? after : before, false, 0);
+    for (int k = 0; k <= c.twice; ++k) {
+      EXPECT_TRUE(leader.Receive(leader.now, late).empty());
+    }
+    EXPECT_EQ(leader.Heartbeat()[2].index, index);
+    EXPECT_EQ(leader.machine->commit(), index);
+    EXPECT_TRUE(leader.lost.empty());
+  }
+}
+
+// A voter whose log went back behind what it had acknowledged is named, told, and counts neither
+// for commits nor for the quorum that keeps a leader.
+TEST(Leader, CountsNoVoterThatLostWhatItAcknowledged) {
+  Leader leader;
+  std::vector<Message> sent = leader.Propose("x");
+  Index index = To(sent, 2)->entries.back().index;
+  for (const Message& m : sent) leader.Grant(m);
+  ASSERT_EQ(leader.machine->commit(), index);
+  Message probe = leader.Heartbeat()[2];
+  ASSERT_EQ(probe.index, index);
+  sent = leader.Receive(leader.now, Reply(probe, false, index - 1));
+  ASSERT_EQ(leader.lost, std::vector<MemberId>{2});
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_EQ(sent[0].type, MessageType::kLostState);
+  // Whatever it acknowledges now: its copy is none.
+  sent = leader.Propose("y");
+  Message later = probe;
+  later.round = sent[0].round;
+  leader.Receive(leader.now, Reply(later, true, index + 1));
+  EXPECT_EQ(leader.machine->commit(), index);
+  leader.machine->Read(leader.now, 5);
+  for (const Message& m : leader.Take(leader.now)) {
+    if (m.to == 2) leader.Receive(leader.now, Reply(m, true, index + 1));
+  }
+  EXPECT_TRUE(leader.reads.empty());
+  // Nor is its voice one of a majority: the leader hears nobody else, and gives up.
+  for (int k = 0; k < 30; ++k) {
+    for (const auto& [to, m] : leader.Heartbeat()) {
+      if (to != 2 || !leader.machine->leading()) continue;
+      EXPECT_EQ(m.type, MessageType::kLostState);
+      leader.Receive(leader.now, Reply(m, true, index + 1));
+    }
+  }
+  EXPECT_FALSE(leader.machine->leading());
+  EXPECT_EQ(leader.lost.size(), 1u);
+}
+
+// Also when the loss shows between its acknowledgement and what else the commit waited for.
+TEST(Leader, CountsNoAcknowledgementThatWasLostBeforeTheCommit) {
+  Leader leader;
+  leader.hangs = true;
+  ASSERT_TRUE(leader.machine->Propose(leader.now, "x").has_value());
+  Machine::Effects e = leader.machine->Take();
+  ASSERT_EQ(e.writes.size(), 1u);
+  Message entries;
+  for (const auto& out : e.messages) {
+    if (out.message.to == 2) entries = out.message;
+  }
+  Index index = entries.entries.back().index;
+  leader.Receive(leader.now, Reply(entries, true, index));
+  Message probe = leader.Heartbeat()[2];
+  leader.Receive(leader.now, Reply(probe, false, index - 1));
+  EXPECT_EQ(leader.lost, std::vector<MemberId>{2});
+  leader.machine->Persisted(leader.now, e.writes[0].sequence, true);
+  EXPECT_EQ(leader.machine->commit(), index - 1);
+}
+
+// The member that is told so ends its part and asks for a new identity.
+TEST(Follower, EndsItsIdentityWhenToldThatItLostState) {
+  Node node(2);
+  node.Receive(10, Entries(2, 1, 2, 5, 1, 1));
+  Message old = From(1, 2, MessageType::kLostState, 1);
+  node.Receive(20, old);
+  Message other = From(1, 3, MessageType::kLostState, 2);
+  node.Receive(20, other);
+  EXPECT_FALSE(node.machine->broken());
+  node.Receive(30, From(1, 2, MessageType::kLostState, 2));
+  EXPECT_TRUE(node.machine->broken());
+  EXPECT_TRUE(node.discard_store);
+  EXPECT_TRUE(node.Receive(40, Entries(2, 2, 6, 6, 1, 3)).empty());
+  for (Millis now = 50; now < 3000; now += 10) EXPECT_TRUE(node.Tick(now).empty());
+}
+
+// Members with links between them. Each link delivers in order; one may be slow, and frames may be
+// lost or connections with all that is under way on them.
+struct Cluster {
+  explicit Cluster(size_t size = 3) {
+    for (MemberId id = 1; id <= size; ++id) nodes.push_back(std::make_unique<Node>(id));
+  }
+  Node* Of(MemberId id) {
+    for (auto& node : nodes) {
+      if (node && node->machine->self().id == id) return node.get();
+    }
+    return nullptr;
+  }
+  Node* leader() {
+    for (auto& node : nodes) {
+      if (node && node->machine->settled()) return node.get();
+    }
+    return nullptr;
+  }
+  void Send(std::vector<Message> messages) {
+    for (Message& m : messages) {
+      Link& link = links[{m.from, m.to}];
+      if (loses && loses(m)) continue;
+      size_t bytes = wire::Encode(m).size();
+      link.free_at = std::max<double>(link.free_at, static_cast<double>(now));
+      if (link.bytes_per_ms > 0) link.free_at += static_cast<double>(bytes) / link.bytes_per_ms;
+      link.queued += bytes;
+      link.most_queued = std::max(link.most_queued, link.queued);
+      link.sent += bytes;
+      link.frames.push_back({static_cast<Millis>(link.free_at) + link.delay, bytes, std::move(m)});
+    }
+  }
+  void Run(Millis span) {
+    for (Millis end = now + span; now < end;) {
+      now += 10;
+      for (auto& node : nodes) {
+        if (node) Send(node->Tick(now));
+      }
+      for (auto& [ends, link] : links) {
+        while (!link.frames.empty() && link.frames.front().at <= now) {
+          Frame frame = std::move(link.frames.front());
+          link.frames.pop_front();
+          link.queued -= frame.bytes;
+          if (Node* node = Of(frame.message.to)) {
+            Send(node->Receive(now, frame.message));
+            if (heard) heard(frame.message);
+          }
+        }
+      }
+    }
+  }
+  struct Frame {
+    Millis at;
+    size_t bytes;
+    Message message;
+  };
+  struct Link {
+    double bytes_per_ms = 0;  // 0: no limit
+    Millis delay = 5;
+    double free_at = 0;
+    size_t queued = 0, most_queued = 0, sent = 0;
+    std::deque<Frame> frames;
+    void Break() {
+      frames.clear();
+      queued = 0;
+      free_at = 0;
+    }
+  };
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::map<std::pair<MemberId, MemberId>, Link> links;
+  std::function<bool(const Message&)> loses;
+  std::function<void(const Message&)> heard;
+  Millis now = 0;
+};
+
+// From the loss to the new identity: the disk of one went back while it was away.
+TEST(Leader, TakesAVoterThatLostStateInAgainUnderANewIdentity) {
+  Cluster cluster;
+  cluster.Run(2000);
+  Node* leader = cluster.leader();
+  ASSERT_NE(leader, nullptr);
+  size_t slot = leader->machine->self().id == 2 ? 2 : 1;
+  MemberId id = slot + 1;
+  Restored before = cluster.nodes[slot]->disk;
+  ASSERT_TRUE(leader->machine->Propose(cluster.now, "x").has_value());
+  cluster.Run(500);
+  Index acknowledged = leader->machine->commit();
+  ASSERT_EQ(LastOf(cluster.nodes[slot]->disk), acknowledged);
+  ASSERT_LT(LastOf(before), acknowledged);
+  EXPECT_TRUE(leader->lost.empty());
+  cluster.nodes[slot] = std::make_unique<Node>(id, before, cluster.now);
+  cluster.Run(300);
+  EXPECT_EQ(leader->lost, std::vector<MemberId>{id});
+  EXPECT_TRUE(cluster.nodes[slot]->discard_store);
+  cluster.nodes[slot] = std::make_unique<Node>(id, Restored(), cluster.now, 77);
+  leader->machine->Join(cluster.now, cluster.nodes[slot]->machine->self());
+  cluster.Run(2000);
+  EXPECT_EQ(cluster.leader(), leader);
+  EXPECT_TRUE(leader->machine->IsVoter(77));
+  EXPECT_FALSE(leader->machine->IsVoter(id));
+  EXPECT_EQ(leader->machine->voters().size(), 3u);
+  EXPECT_GE(LastOf(cluster.nodes[slot]->disk), acknowledged);
+}
+
+}  // namespace
+}  // namespace elderkeel::consensus
