--- a/src/configuration/register.cc
+++ b/src/configuration/register.cc
@@ -1,17 +1,27 @@
 #include "configuration/register.h"
 
-#include <algorithm>
+#include <nettle/sha2.h>
 
-#include "base/random.h"
+#include <algorithm>
 
 namespace elderkeel::configuration {
 namespace {
-constexpr size_t kTaken = 256;
 constexpr const char* kNothing = R"({"revision":0,"route-list":[],"service-list":[]})";
 }  // namespace
 
-uint64_t Change::Digest() const {
-  return base::Hash(body, static_cast<uint64_t>(if_match) * 2 + (patch ? 1 : 0) + 1);
+Change::Identity Change::Identify() const {
+  std::array<uint8_t, 9> head{};
+  head[0] = patch ? 1 : 0;
+  for (size_t i = 0; i < 8; ++i) {
+    head[i + 1] = static_cast<uint8_t>(static_cast<uint64_t>(if_match) >> (8 * i));
+  }
+  sha256_ctx sha;
+  sha256_init(&sha);
+  sha256_update(&sha, head.size(), head.data());
+  sha256_update(&sha, body.size(), reinterpret_cast<const uint8_t*>(body.data()));
+  Identity identity;
+  sha256_digest(&sha, identity.size(), identity.data());
+  return identity;
 }
 
 // The document that `change` would put in force, or why it can't.
@@ -50,24 +60,33 @@
 }
 
 Register::Verdict Register::Judge(const Change& change) const {
-  if (std::find(taken_.begin(), taken_.end(), change.Digest()) != taken_.end()) return {200, ""};
+  auto at =
+      std::lower_bound(taken_.begin(), taken_.end(), change.if_match,
+                       [](const Taken& t, int64_t if_match) { return t.if_match < if_match; });
+  if (at != taken_.end() && at->if_match == change.if_match && at->identity == change.Identify()) {
+    return {200, ""};
+  }
   Verdict verdict;
   Candidate(change, &verdict);
+  if (verdict.status == 412 && change.if_match < known_from_) {
+    return {503, "so old a change may be one that was taken"};
+  }
   return verdict;
 }
 
 bool Register::Apply(const Change& change) {
-  uint64_t digest = change.Digest();
-  if (std::find(taken_.begin(), taken_.end(), digest) != taken_.end()) return false;
   Verdict verdict;
   std::string text = Candidate(change, &verdict);
   if (verdict.status != 0) return false;
   base_ = change.patch ? revision_ : 0;
   text_ = std::move(text);
   revision_ = RevisionOf(text_);
-  newest_ = change;
-  taken_.push_back(digest);
-  if (taken_.size() > kTaken) taken_.erase(taken_.begin());
+  patch_ = change.patch ? change.body : "";
+  taken_.push_back({change.if_match, change.Identify()});
+  if (taken_.size() > kTaken) {
+    taken_.erase(taken_.begin());
+    known_from_ = taken_.front().if_match;
+  }
   return true;
 }
 
--- a/src/configuration/register.h
+++ b/src/configuration/register.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cereal/types/array.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
@@ -16,7 +18,9 @@
   int64_t if_match = 0;
   std::string body;
 
-  uint64_t Digest() const;
+  // 128 bits of SHA-256 over all of it: whether two calls carry the same change.
+  using Identity = std::array<uint8_t, 16>;
+  Identity Identify() const;
   template <class A>
   void serialize(A& a) {
     a(patch, if_match, body);
@@ -29,9 +33,13 @@
 class Register {
  public:
   struct Verdict {
-    int status = 0;  // 200 already taken, 4xx refused, 0 may be proposed
+    // 200 already taken, 4xx refused, 0 may be proposed; 503 if it can't be told any more whether
+    // it was taken.
+    int status = 0;
     std::string reason;
   };
+  // So many changes are told again, the newest; of older ones none is refused as stale.
+  static constexpr size_t kTaken = 4096;
 
   Verdict Judge(const Change& change) const;
   // True if it took effect.
@@ -41,22 +49,51 @@
   // The revision that the newest change was built on; 0 if that change was a whole configuration.
   int64_t base() const { return base_; }
   const std::string& text() const { return text_; }
-  const Change& newest() const { return newest_; }
+  // The newest change as it was sent, if it was a patch; else empty, and `text` is what was sent.
+  const std::string& patch() const { return patch_; }
   bool empty() const { return text_.empty(); }
 
   template <class A>
-  void serialize(A& a) {
-    a(revision_, base_, text_, newest_, taken_);
+  void save(A& a) const {
+    a(kFormat, revision_, base_, text_, patch_, known_from_, taken_);
+  }
+  // Also what was saved before identities were kept, when the revision stood first.
+  template <class A>
+  void load(A& a) {
+    a(revision_);
+    if (revision_ == kFormat) {
+      a(revision_, base_, text_, patch_, known_from_, taken_);
+      return;
+    }
+    Change newest;
+    std::vector<uint64_t> digests;
+    a(base_, text_, newest, digests);
+    patch_ = newest.patch ? newest.body : "";
+    taken_.clear();
+    if (revision_ > 0) taken_.push_back({newest.if_match, newest.Identify()});
+    known_from_ = newest.if_match;
   }
 
  private:
+  static constexpr int64_t kFormat = -1;  // no revision is below 0
+  // A change that took effect. Revisions rise, so at most one change on each base ever does, and a
+  // rival is told from it by base before identities are compared.
+  struct Taken {
+    int64_t if_match = 0;
+    Change::Identity identity{};
+    template <class A>
+    void serialize(A& a) {
+      a(if_match, identity);
+    }
+  };
   std::string Candidate(const Change& change, Verdict* verdict) const;
 
   int64_t revision_ = 0;
   int64_t base_ = 0;
   std::string text_;
-  Change newest_;
-  std::vector<uint64_t> taken_;  // digests of the last changes that took effect
+  std::string patch_;
+  int64_t known_from_ = 0;  // every taken change with this If-Match or a higher one is in `taken_`
+  std::vector<Taken> taken_;  // the last changes that took effect, by rising If-Match
 };
 
 }  // namespace elderkeel::configuration
--- a/src/news/exchange.cc
+++ b/src/news/exchange.cc
@@ -280,11 +280,10 @@
 
 void Exchange::Commit(base::Millis now, const configuration::Register& state) {
   if (state.revision() <= revision_) return;
-  bool patch = state.base() != 0 && state.newest().patch;
   revision_ = state.revision();
   text_ = state.text();
-  patch_base_ = patch ? state.base() : 0;
-  patch_ = patch ? state.newest().body : "";
+  patch_base_ = state.base();
+  patch_ = patch_base_ != 0 ? state.patch() : "";
   out_.config_adopted = true;
   // Every controller applies the log by itself; one of a zone tells all of it.
   if (!members_->FirstOfZone()) {
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -156,6 +156,92 @@
   for (const Case& c : cases) EXPECT_EQ(state.Judge(c.change).status, c.status) << c.change.body;
 }
 
+// Few bytes, since thousands are applied.
+Change Small(int64_t if_match, int64_t revision, const std::string& by) {
+  return {false, if_match,
+          R"({"revision":)" + std::to_string(revision) + R"(,"by":")" + by +
+              R"(","route-list":[],"service-list":[]})"};
+}
+
+TEST(Register, NeverRefusesWhatWasTakenAndNeverTakesTwoOnOneVersion) {
+  Register state;
+  const int last = static_cast<int>(Register::kTaken) + 300;
+  for (int i = 0; i < last; ++i) ASSERT_TRUE(state.Apply(Small(i, i + 1, "a")));
+  const int oldest = last - static_cast<int>(Register::kTaken);
+  struct Case {
+    const char* name;
+    Change change;
+    int status;
+  } cases[] = {
+      {"the newest", Small(last - 1, last, "a"), 200},
+      {"a day ago", Small(last - 999, last - 998, "a"), 200},
+      {"the oldest that is known", Small(oldest, oldest + 1, "a"), 200},
+      {"taken and forgotten", Small(oldest - 1, oldest, "a"), 503},
+      {"the first", Small(0, 1, "a"), 503},
+      {"a rival that lost", Small(last - 1, last, "b"), 412},
+      {"a rival that lost long ago", Small(oldest, oldest + 1, "b"), 412},
+      {"another verb", {true, last - 1, Small(last - 1, last, "a").body}, 412},
+      {"another If-Match", Small(last - 2, last, "a"), 412},
+      {"unreadable and old", {false, 0, "{"}, 400},
+      {"the next", Small(last, last + 1, "a"), 0},
+  };
+  auto read = wire::Decode<Register>(wire::Encode(state));
+  ASSERT_TRUE(read);
+  for (const Case& c : cases) {
+    EXPECT_EQ(state.Judge(c.change).status, c.status) << c.name;
+    EXPECT_EQ(read->Judge(c.change).status, c.status) << c.name;
+    Register copy = state;
+    EXPECT_EQ(copy.Apply(c.change), c.status == 0) << c.name;
+  }
+}
+
+// As a register was saved when changes were known by 64 bits.
+struct RegisterOfBefore {
+  int64_t revision = 0, base = 0;
+  std::string text;
+  Change newest;
+  std::vector<uint64_t> digests;
+  template <class A>
+  void serialize(A& a) {
+    a(revision, base, text, newest, digests);
+  }
+};
+
+TEST(Register, ReadsWhatWasSavedWithShortDigests) {
+  Change patch{true, 3, R"({"revision":5,"upsert":{},"remove":{}})"};
+  for (const Change& newest : {Small(3, 5, "a"), patch}) {
+    RegisterOfBefore before{5, newest.patch ? 3 : 0, Small(3, 5, "a").body, newest, {7, 8}};
+    // What follows the register in a snapshot must still be found.
+    auto state = controller::ControlState::Read(
+        wire::Encode(before) + wire::Encode(duty::Duty{5, 6, 7}) +
+        wire::Encode(evacuation::Orders()) + wire::Encode(rollout::Rollouts()));
+    ASSERT_TRUE(state);
+    const Register& read = state->configuration;
+    EXPECT_EQ(read.revision(), 5);
+    EXPECT_EQ(read.base(), before.base);
+    EXPECT_EQ(read.text(), before.text);
+    EXPECT_EQ(read.patch(), newest.patch ? newest.body : "");
+    EXPECT_EQ(state->duty.epoch, 7u);
+    EXPECT_EQ(read.Judge(newest).status, 200);
+    EXPECT_EQ(read.Judge(Small(3, 6, "b")).status, 412);
+    EXPECT_EQ(read.Judge(Small(2, 3, "a")).status, 503);  // may have been taken
+    EXPECT_EQ(read.Judge(Small(5, 6, "a")).status, 0);
+  }
+  auto nothing = wire::Decode<Register>(wire::Encode(RegisterOfBefore()));
+  ASSERT_TRUE(nothing);
+  EXPECT_EQ(nothing->Judge(Small(0, 1, "a")).status, 0);
+}
+
+TEST(Register, ASnapshotHoldsOneDocument) {
+  Register state;
+  std::string big(1 << 20, 'x');
+  ASSERT_TRUE(state.Apply(Small(0, 1, big)));
+  EXPECT_LT(wire::Encode(state).size(), big.size() + 1000);
+  ASSERT_TRUE(state.Apply({true, 1, R"({"revision":2,"note":1})"}));
+  EXPECT_EQ(state.patch(), R"({"revision":2,"note":1})");
+  EXPECT_EQ(wire::Decode<Register>(wire::Encode(state))->patch(), state.patch());
+}
+
 // A log whose every step the test takes.
 class FakeLog : public Log {
  public:
