A late copy of an order is not proposed once its opposite came or its caller has gone

Cause: calls carry no identity, so a copy of an evacuation that was read late, after the same order was acknowledged elsewhere and then taken back, took effect a second time; the same for a roll-out overtaken by another. Besides: a confirmation was asked for anew at every tick for every waiting call (a round of appends to all members each); 128 calls could hold 16 MB each; a leader that lost and regained its role between two calls of the interface, or opened its store anew, kept waiting for an entry that may never be applied, and no further change was proposed; a zone was refused (404) by any node's own list; an evacuated zone could not be taken back once its last server was gone.

Change: the leader doesn't propose an order whose caller has closed its connection (the server of `control` now notices sleep, as the one of the front does), that waited past its deadline, or during whose wait the zone went the other way or the service got another roll-out: 503, no clear answer. A majority is asked once for each call. All waiting bodies together hold 32 MB, or one that is larger. Calls end when the term changes, not only when leadership does. Whether a zone is known is judged by a confirmed leader; one that is evacuated can be taken back.

Ruled out: remembering orders by their words (the same words may be a new order: evacuate, take back, evacuate), a time within which equal orders are one (the log has no clock).

That the server tells of callers that have gone is wired in controller.cc and has no test of its own with a running controller.

--- a/src/configuration/operator_api.cc
+++ b/src/configuration/operator_api.cc
@@ -11,6 +11,7 @@
 namespace elderkeel::configuration {
 namespace {
 constexpr size_t kMaxJobs = 128;
+constexpr size_t kMaxJobBytes = 32u << 20;  // of bodies; a single one may be larger
 constexpr size_t kMaxOrderBytes = 4096;
 
 // A number as If-Match carries it, with or without quotes; -1 when it is none.
@@ -81,10 +82,6 @@
       Reply(job->ticket, 405, "POST, DELETE");
       return false;
     }
-    if (!log_->HasZone(job->order.zone)) {
-      Reply(job->ticket, 404, "no such zone");
-      return false;
-    }
     return true;
   }
   if (request.Path() != "/elderkeel/config") return UnderstandRollout(request, job);
@@ -135,8 +132,21 @@
     }
     return {verdict.status, verdict.reason};
   }
-  if (orders_->Evacuated(job.order.zone) == job.order.evacuate) return {200, ""};
-  return {};
+  bool evacuated = orders_->Evacuated(job.order.zone);
+  if (evacuated && job.order.evacuate) return {200, ""};
+  // A zone whose last server is gone can still be taken back.
+  if (!evacuated && !log_->HasZone(job.order.zone)) return {404, "no such zone"};
+  return {evacuated == job.order.evacuate ? 200 : 0, ""};
+}
+
+uint64_t OperatorApi::NewestRollout(const std::string& service) const {
+  const rollout::Rollout* rollout = rollouts_->Of(service);
+  return rollout ? rollout->number : 0;
+}
+
+bool OperatorApi::Overtaken(const Job& job) const {
+  if (job.kind == Job::Kind::kOrder) return job.opposed;
+  return job.kind == Job::Kind::kRollout && NewestRollout(job.rollout.service) != job.newest;
 }
 
 void OperatorApi::OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request) {
@@ -151,11 +161,34 @@
     Reply(ticket, 503, "too many calls at once");
     return;
   }
+  size_t bytes = job.change.body.size();
+  for (const auto& [token, other] : jobs_) bytes += other.change.body.size();
+  if (bytes > kMaxJobBytes && bytes > job.change.body.size()) {
+    Reply(ticket, 503, "too many bytes at once");
+    return;
+  }
+  job.evacuated = orders_->Evacuated(job.order.zone);
+  job.newest = NewestRollout(job.rollout.service);
   job.deadline = now + patience_;
   uint64_t token = next_token_++;
   jobs_[token] = std::move(job);
-  // A leader that has not yet committed an entry of its own term asks again at the next tick.
-  if (log_->settled()) log_->Read(token);
+  Ask(token);
+}
+
+// A leader that has not yet committed an entry of its own term asks again at the next tick.
+void OperatorApi::Ask(uint64_t token) {
+  if (!log_->settled()) return;
+  bool asked = log_->Read(token);
+  auto at = jobs_.find(token);
+  if (at != jobs_.end()) at->second.asked = asked;
+}
+
+void OperatorApi::Gone(uint64_t ticket) {
+  for (auto at = jobs_.begin(); at != jobs_.end(); ++at) {
+    if (at->second.ticket != ticket) continue;
+    if (!in_flight_ || in_flight_->token != at->first) jobs_.erase(at);
+    return;
+  }
 }
 
 void OperatorApi::ReadDone(base::Millis now, uint64_t token, bool confirmed) {
@@ -207,7 +240,7 @@
   answer_(job.ticket, answer);
 }
 
-void OperatorApi::Serve(base::Millis) {
+void OperatorApi::Serve(base::Millis now) {
   for (auto at = jobs_.begin(); at != jobs_.end();) {
     uint64_t token = at->first;
     Job& job = at->second;
@@ -225,6 +258,8 @@
       continue;
     }
     Register::Verdict verdict = Judge(job);
+    if (verdict.status == 0 && now >= job.deadline) verdict = {503, "no majority in time"};
+    if (verdict.status == 0 && Overtaken(job)) verdict = {503, "another order came in between"};
     if (verdict.status != 0) {
       Reply(job.ticket, verdict.status, verdict.reason);
       at = jobs_.erase(at);
@@ -242,14 +277,23 @@
 }
 
 void OperatorApi::Applied(base::Millis now, uint64_t index) {
+  for (auto& [token, job] : jobs_) {
+    if (job.kind != Job::Kind::kOrder) continue;
+    bool evacuated = orders_->Evacuated(job.order.zone);
+    if (evacuated != job.evacuated && evacuated != job.order.evacuate) job.opposed = true;
+    job.evacuated = evacuated;
+  }
   if (!in_flight_ || index < in_flight_->index) return;
   uint64_t token = in_flight_->token;
   bool ours = index == in_flight_->index;
   in_flight_.reset();
   auto at = jobs_.find(token);
   if (at != jobs_.end()) {
-    Register::Verdict verdict = Judge(at->second);
-    uint64_t ticket = at->second.ticket;
+    const Job& job = at->second;
+    bool in_force =
+        job.kind == Job::Kind::kOrder && orders_->Evacuated(job.order.zone) == job.order.evacuate;
+    Register::Verdict verdict = in_force ? Register::Verdict{200, ""} : Judge(job);
+    uint64_t ticket = job.ticket;
     jobs_.erase(at);
     Reply(ticket, ours && verdict.status != 0 ? verdict.status : 503,
           verdict.reason.empty() ? "the change was overtaken" : verdict.reason);
@@ -258,7 +302,8 @@
 }
 
 void OperatorApi::RoleChanged(base::Millis) {
-  if (log_->leading()) return;
+  if (log_->leading() && log_->term() == term_) return;
+  term_ = log_->term();
   in_flight_.reset();
   std::map<uint64_t, Job> jobs;
   jobs.swap(jobs_);
@@ -279,10 +324,10 @@
   if (!log_->settled()) return;
   std::vector<uint64_t> unread;
   for (auto& [token, job] : jobs_) {
-    if (!job.confirmed) unread.push_back(token);
+    if (!job.asked) unread.push_back(token);
   }
   for (uint64_t token : unread) {
-    if (jobs_.count(token)) log_->Read(token);
+    if (jobs_.count(token)) Ask(token);
   }
 }
 
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -200,11 +200,13 @@
     limits.body_bytes = kMaxControlBody;
     return limits;
   };
+  server.notice_sleep = true;
   server.max_connections = 256;
   control_ = std::make_unique<wire::HttpServer>(
       loop_, server, [this](wire::HttpServer::Ticket ticket, wire::Message&& request) {
         OnRequest(ticket, std::move(request));
       });
+  control_->OnGone([this](wire::HttpServer::Ticket ticket) { operator_->Gone(ticket); });
   platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
   replica_ = std::make_unique<consensus::Replica>(loop_, std::move(log));
   auto started = fleet_->Start();
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -42,6 +42,7 @@
   // configuration::Log
   bool settled() const override { return replica_->started() && replica_->machine().settled(); }
   bool leading() const override { return replica_->started() && replica_->machine().leading(); }
+  uint64_t term() const override { return replica_->machine().term(); }
   std::optional<std::string> leader_control() const override;
   bool Read(uint64_t token) override { return replica_->Read(token); }
   std::optional<uint64_t> Propose(const configuration::Change& change) override {
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <set>
 
 #include "base/random.h"
 #include "configuration/operator_api.h"
@@ -247,6 +248,7 @@
  public:
   bool settled() const override { return settled_; }
   bool leading() const override { return leading_; }
+  uint64_t term() const override { return term_; }
   std::optional<std::string> leader_control() const override { return leader_; }
   bool Read(uint64_t token) override {
     reads_.push_back(token);
@@ -264,9 +266,11 @@
     rollouts_.push_back(order);
     return proposed_.size() + orders_.size() + rollouts_.size();
   }
-  bool HasZone(const std::string& zone) const override { return zone == "a" || zone == "b"; }
+  bool HasZone(const std::string& zone) const override { return zones_.count(zone) > 0; }
   bool HasService(const std::string& service) const override { return service == "s"; }
   bool settled_ = true, leading_ = true;
+  uint64_t term_ = 0;
+  std::set<std::string> zones_ = {"a", "b"};
   std::optional<std::string> leader_;
   std::vector<uint64_t> reads_;
   std::vector<Change> proposed_;
@@ -511,6 +515,156 @@
   EXPECT_EQ(call("GET", get, ""), 503);
 }
 
+wire::Message Evacuation(const char* method, const char* zone) {
+  wire::Message request;
+  request.method = method;
+  request.target = std::string("/elderkeel/evacuation/") + zone;
+  return request;
+}
+
+wire::Message Rollout(const char* version) {
+  wire::Message request;
+  request.method = "POST";
+  request.target = "/elderkeel/rollouts";
+  request.body =
+      std::string(R"({"target":"s","target-revision":")") + version + R"(","over-s":12})";
+  return request;
+}
+
+// A late copy waits here while its order, and then the opposite one, take effect.
+TEST_F(OperatorApiTest, AnOrderWhoseOppositeCameInBetweenIsNotProposed) {
+  struct Case {
+    const char* name;
+    const char* method;
+    std::vector<std::pair<const char*, bool>> meanwhile;  // zone; evacuated
+    int status;                                           // 0: proposed
+  } cases[] = {
+      {"nothing came", "POST", {}, 0},
+      {"it took effect", "POST", {{"a", true}}, 200},
+      {"it took effect and its opposite", "POST", {{"a", true}, {"a", false}}, 503},
+      {"another zone", "POST", {{"b", true}, {"b", false}}, 0},
+      {"and again", "POST", {{"a", true}, {"a", false}, {"a", true}}, 200},
+      {"the opposite of a taking back", "DELETE", {{"a", true}}, 503},
+  };
+  uint64_t ticket = 0;
+  for (const Case& c : cases) {
+    orders_ = evacuation::Orders();
+    log_.orders_.clear();
+    api_.OnRequest(0, ++ticket, Evacuation(c.method, "a"));
+    for (const auto& [zone, evacuated] : c.meanwhile) {
+      orders_.Apply({zone, evacuated});
+      api_.Applied(0, 1);
+    }
+    ConfirmReads();
+    EXPECT_EQ(StatusOf(ticket), c.status) << c.name;
+    EXPECT_EQ(log_.orders_.size(), c.status == 0 ? 1u : 0u) << c.name;
+    ++log_.term_;
+    api_.RoleChanged(0);
+  }
+}
+
+TEST_F(OperatorApiTest, AnOrderOfARollOutThatWasOvertakenIsNotProposed) {
+  auto end = [&](const char* version) {
+    rollout::Step step;
+    step.kind = rollout::Step::Kind::kOrder;
+    step.order = {"s", version, 12000};
+    ASSERT_TRUE(rollouts_.Apply(step));
+    step.kind = rollout::Step::Kind::kStage;
+    step.number = rollouts_.Of("s")->number;
+    step.stage = rollout::Stage::kReverted;
+    ASSERT_TRUE(rollouts_.Apply(step));
+  };
+  api_.OnRequest(0, 1, Rollout("v2"));
+  end("v2");
+  end("v3");
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(1), 503);
+  EXPECT_TRUE(log_.rollouts_.empty());
+  api_.OnRequest(0, 2, Rollout("v2"));  // one that begins after v3's end is a new one
+  ConfirmReads();
+  EXPECT_EQ(log_.rollouts_.size(), 1u);
+}
+
+TEST_F(OperatorApiTest, ProposesNothingForACallerThatHasGoneOrWasTooLate) {
+  api_.OnRequest(0, 1, Evacuation("POST", "a"));
+  api_.Gone(1);
+  ConfirmReads();
+  EXPECT_TRUE(log_.orders_.empty());
+  EXPECT_EQ(StatusOf(1), 0);
+  // The process slept between the call and the confirmation.
+  api_.OnRequest(0, 2, Evacuation("POST", "a"));
+  api_.ReadDone(20000, log_.reads_.back(), true);
+  EXPECT_TRUE(log_.orders_.empty());
+  EXPECT_EQ(StatusOf(2), 503);
+  // What was proposed goes its way.
+  log_.reads_.clear();
+  api_.OnRequest(0, 3, Evacuation("POST", "a"));
+  ConfirmReads();
+  ASSERT_EQ(log_.orders_.size(), 1u);
+  api_.Gone(3);
+  api_.OnRequest(0, 4, Evacuation("POST", "a"));
+  ConfirmReads();
+  EXPECT_EQ(log_.orders_.size(), 1u);
+  orders_.Apply(log_.orders_[0]);
+  api_.Applied(0, 1);
+  EXPECT_EQ(StatusOf(4), 200);
+}
+
+TEST_F(OperatorApiTest, AsksAMajorityOnceForEachCall) {
+  api_.OnRequest(0, 1, Call("GET", "", ""));
+  for (base::Millis now = 50; now < 800; now += 50) api_.Tick(now);
+  EXPECT_EQ(log_.reads_.size(), 1u);
+}
+
+TEST_F(OperatorApiTest, LeadershipThatWentAndCameBackIsLeadershipLost) {
+  api_.OnRequest(0, 1, Call("PUT", "0", Document(2, kRoute)));
+  ConfirmReads();
+  ASSERT_EQ(log_.proposed_.size(), 1u);
+  api_.RoleChanged(0);  // it settled
+  EXPECT_EQ(StatusOf(1), 0);
+  ++log_.term_;
+  api_.RoleChanged(0);  // leads, in another term: what stands at the entry's place is another's
+  EXPECT_EQ(StatusOf(1), 503);
+  api_.OnRequest(0, 2, Call("PUT", "0", Document(3, kRoute)));
+  ConfirmReads();
+  EXPECT_EQ(log_.proposed_.size(), 2u);  // waits for nothing
+}
+
+TEST_F(OperatorApiTest, RefusesNoZoneByAStateThatIsNotConfirmed) {
+  log_.leading_ = log_.settled_ = false;
+  api_.OnRequest(0, 1, Evacuation("POST", "unheard-of"));
+  EXPECT_EQ(StatusOf(1), 503);
+  log_.leading_ = log_.settled_ = true;
+  api_.OnRequest(0, 2, Evacuation("POST", "unheard-of"));
+  EXPECT_EQ(StatusOf(2), 0);
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(2), 404);
+}
+
+TEST_F(OperatorApiTest, AnEvacuatedZoneThatLostItsLastServerIsTakenBack) {
+  orders_.Apply({"a", true});
+  log_.zones_.clear();
+  api_.OnRequest(0, 1, Evacuation("POST", "a"));
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(1), 200);  // sent again
+  api_.OnRequest(0, 2, Evacuation("DELETE", "a"));
+  ConfirmReads();
+  ASSERT_EQ(log_.orders_.size(), 1u);
+  orders_.Apply(log_.orders_[0]);
+  api_.Applied(0, 1);
+  EXPECT_EQ(StatusOf(2), 200);
+}
+
+TEST_F(OperatorApiTest, HoldsABoundedSumOfBodies) {
+  std::string large(20u << 20, ' ');
+  api_.OnRequest(0, 1, Call("PUT", "0", large));
+  api_.OnRequest(0, 2, Call("PUT", "0", large));
+  EXPECT_EQ(StatusOf(1), 0);
+  EXPECT_EQ(StatusOf(2), 503);
+  api_.OnRequest(0, 3, Call("PUT", "0", Document(2, kRoute)));
+  EXPECT_EQ(StatusOf(3), 0);
+}
+
 TEST(ControlState, SnapshotsKeepAllOfItAndThoseOfBeforeAreRead) {
   controller::ControlState state;
   state.Apply(controller::MakeCommand(controller::Command::Kind::kConfiguration,
