--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -87,8 +87,8 @@
     if (v.id == id) continue;
     ++others;
     auto at = progress_.find(v.id);
-    bool live = v.id == self_.id || (at != progress_.end() && !Leaving(at->second) &&
-                                     now - at->second.heard < timing_.election);
+    bool live = HeardWithin(now, v.id, timing_.election) &&
+                (at == progress_.end() || !Leaving(at->second));
     heard += live;
     copies += live && Synced(v) >= commit_;
   }
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <set>
 
 #include "base/random.h"
 #include "configuration/operator_api.h"
@@ -156,11 +157,98 @@
   for (const Case& c : cases) EXPECT_EQ(state.Judge(c.change).status, c.status) << c.change.body;
 }
 
+// Few bytes, since thousands are applied.
+Change Small(int64_t if_match, int64_t revision, const std::string& by) {
+  return {false, if_match,
+          R"({"revision":)" + std::to_string(revision) + R"(,"by":")" + by +
+              R"(","route-list":[],"service-list":[]})"};
+}
+
+TEST(Register, NeverRefusesWhatWasTakenAndNeverTakesTwoOnOneVersion) {
+  Register state;
+  const int last = static_cast<int>(Register::kTaken) + 300;
+  for (int i = 0; i < last; ++i) ASSERT_TRUE(state.Apply(Small(i, i + 1, "a")));
+  const int oldest = last - static_cast<int>(Register::kTaken);
+  struct Case {
+    const char* name;
+    Change change;
+    int status;
+  } cases[] = {
+      {"the newest", Small(last - 1, last, "a"), 200},
+      {"a day ago", Small(last - 999, last - 998, "a"), 200},
+      {"the oldest that is known", Small(oldest, oldest + 1, "a"), 200},
+      {"taken and forgotten", Small(oldest - 1, oldest, "a"), 503},
+      {"the first", Small(0, 1, "a"), 503},
+      {"a rival that lost", Small(last - 1, last, "b"), 412},
+      {"a rival that lost long ago", Small(oldest, oldest + 1, "b"), 412},
+      {"another verb", {true, last - 1, Small(last - 1, last, "a").body}, 412},
+      {"another If-Match", Small(last - 2, last, "a"), 412},
+      {"unreadable and old", {false, 0, "{"}, 400},
+      {"the next", Small(last, last + 1, "a"), 0},
+  };
+  auto read = wire::Decode<Register>(wire::Encode(state));
+  ASSERT_TRUE(read);
+  for (const Case& c : cases) {
+    EXPECT_EQ(state.Judge(c.change).status, c.status) << c.name;
+    EXPECT_EQ(read->Judge(c.change).status, c.status) << c.name;
+    Register copy = state;
+    EXPECT_EQ(copy.Apply(c.change), c.status == 0) << c.name;
+  }
+}
+
+// As a register was saved when changes were known by 64 bits.
+struct RegisterOfBefore {
+  int64_t revision = 0, base = 0;
+  std::string text;
+  Change newest;
+  std::vector<uint64_t> digests;
+  template <class A>
+  void serialize(A& a) {
+    a(revision, base, text, newest, digests);
+  }
+};
+
+TEST(Register, ReadsWhatWasSavedWithShortDigests) {
+  Change patch{true, 3, R"({"revision":5,"upsert":{},"remove":{}})"};
+  for (const Change& newest : {Small(3, 5, "a"), patch}) {
+    RegisterOfBefore before{5, newest.patch ? 3 : 0, Small(3, 5, "a").body, newest, {7, 8}};
+    // What follows the register in a snapshot must still be found.
+    auto state = controller::ControlState::Read(
+        wire::Encode(before) + wire::Encode(duty::Duty{5, 6, 7}) +
+        wire::Encode(evacuation::Orders()) + wire::Encode(rollout::Rollouts()));
+    ASSERT_TRUE(state);
+    const Register& read = state->configuration;
+    EXPECT_EQ(read.revision(), 5);
+    EXPECT_EQ(read.base(), before.base);
+    EXPECT_EQ(read.text(), before.text);
+    EXPECT_EQ(read.patch(), newest.patch ? newest.body : "");
+    EXPECT_EQ(state->duty.epoch, 7u);
+    EXPECT_EQ(read.Judge(newest).status, 200);
+    EXPECT_EQ(read.Judge(Small(3, 6, "b")).status, 412);
+    EXPECT_EQ(read.Judge(Small(2, 3, "a")).status, 503);  // may have been taken
+    EXPECT_EQ(read.Judge(Small(5, 6, "a")).status, 0);
+  }
+  auto nothing = wire::Decode<Register>(wire::Encode(RegisterOfBefore()));
+  ASSERT_TRUE(nothing);
+  EXPECT_EQ(nothing->Judge(Small(0, 1, "a")).status, 0);
+}
+
+TEST(Register, ASnapshotHoldsOneDocument) {
+  Register state;
+  std::string big(1 << 20, 'x');
+  ASSERT_TRUE(state.Apply(Small(0, 1, big)));
+  EXPECT_LT(wire::Encode(state).size(), big.size() + 1000);
+  ASSERT_TRUE(state.Apply({true, 1, R"({"revision":2,"note":1})"}));
+  EXPECT_EQ(state.patch(), R"({"revision":2,"note":1})");
+  EXPECT_EQ(wire::Decode<Register>(wire::Encode(state))->patch(), state.patch());
+}
+
 // A log whose every step the test takes.
 class FakeLog : public Log {
  public:
   bool settled() const override { return settled_; }
   bool leading() const override { return leading_; }
+  uint64_t term() const override { return term_; }
   std::optional<std::string> leader_control() const override { return leader_; }
   bool Read(uint64_t token) override {
     reads_.push_back(token);
@@ -178,9 +266,11 @@
     rollouts_.push_back(order);
     return proposed_.size() + orders_.size() + rollouts_.size();
   }
-  bool HasZone(const std::string& zone) const override { return zone == "a" || zone == "b"; }
+  bool HasZone(const std::string& zone) const override { return zones_.count(zone) > 0; }
   bool HasService(const std::string& service) const override { return service == "s"; }
   bool settled_ = true, leading_ = true;
+  uint64_t term_ = 0;
+  std::set<std::string> zones_ = {"a", "b"};
   std::optional<std::string> leader_;
   std::vector<uint64_t> reads_;
   std::vector<Change> proposed_;
@@ -425,6 +515,156 @@
   EXPECT_EQ(call("GET", get, ""), 503);
 }
 
+wire::Message Evacuation(const char* method, const char* zone) {
+  wire::Message request;
+  request.method = method;
+  request.target = std::string("/elderkeel/evacuation/") + zone;
+  return request;
+}
+
+wire::Message Rollout(const char* version) {
+  wire::Message request;
+  request.method = "POST";
+  request.target = "/elderkeel/rollouts";
+  request.body =
+      std::string(R"({"target":"s","target-revision":")") + version + R"(","over-s":12})";
+  return request;
+}
+
+// A late copy waits here while its order, and then the opposite one, take effect.
+TEST_F(OperatorApiTest, AnOrderWhoseOppositeCameInBetweenIsNotProposed) {
+  struct Case {
+    const char* name;
+    const char* method;
+    std::vector<std::pair<const char*, bool>> meanwhile;  // zone; evacuated
+    int status;                                           // 0: proposed
+  } cases[] = {
+      {"nothing came", "POST", {}, 0},
+      {"it took effect", "POST", {{"a", true}}, 200},
+      {"it took effect and its opposite", "POST", {{"a", true}, {"a", false}}, 503},
+      {"another zone", "POST", {{"b", true}, {"b", false}}, 0},
+      {"and again", "POST", {{"a", true}, {"a", false}, {"a", true}}, 200},
+      {"the opposite of a taking back", "DELETE", {{"a", true}}, 503},
+  };
+  uint64_t ticket = 0;
+  for (const Case& c : cases) {
+    orders_ = evacuation::Orders();
+    log_.orders_.clear();
+    api_.OnRequest(0, ++ticket, Evacuation(c.method, "a"));
+    for (const auto& [zone, evacuated] : c.meanwhile) {
+      orders_.Apply({zone, evacuated});
+      api_.Applied(0, 1);
+    }
+    ConfirmReads();
+    EXPECT_EQ(StatusOf(ticket), c.status) << c.name;
+    EXPECT_EQ(log_.orders_.size(), c.status == 0 ? 1u : 0u) << c.name;
+    ++log_.term_;
+    api_.RoleChanged(0);
+  }
+}
+
+TEST_F(OperatorApiTest, AnOrderOfARollOutThatWasOvertakenIsNotProposed) {
+  auto end = [&](const char* version) {
+    rollout::Step step;
+    step.kind = rollout::Step::Kind::kOrder;
+    step.order = {"s", version, 12000};
+    ASSERT_TRUE(rollouts_.Apply(step));
+    step.kind = rollout::Step::Kind::kStage;
+    step.number = rollouts_.Of("s")->number;
+    step.stage = rollout::Stage::kReverted;
+    ASSERT_TRUE(rollouts_.Apply(step));
+  };
+  api_.OnRequest(0, 1, Rollout("v2"));
+  end("v2");
+  end("v3");
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(1), 503);
+  EXPECT_TRUE(log_.rollouts_.empty());
+  api_.OnRequest(0, 2, Rollout("v2"));  // one that begins after v3's end is a new one
+  ConfirmReads();
+  EXPECT_EQ(log_.rollouts_.size(), 1u);
+}
+
+TEST_F(OperatorApiTest, ProposesNothingForACallerThatHasGoneOrWasTooLate) {
+  api_.OnRequest(0, 1, Evacuation("POST", "a"));
+  api_.Gone(1);
+  ConfirmReads();
+  EXPECT_TRUE(log_.orders_.empty());
+  EXPECT_EQ(StatusOf(1), 0);
+  // The process slept between the call and the confirmation.
+  api_.OnRequest(0, 2, Evacuation("POST", "a"));
+  api_.ReadDone(20000, log_.reads_.back(), true);
+  EXPECT_TRUE(log_.orders_.empty());
+  EXPECT_EQ(StatusOf(2), 503);
+  // What was proposed goes its way.
+  log_.reads_.clear();
+  api_.OnRequest(0, 3, Evacuation("POST", "a"));
+  ConfirmReads();
+  ASSERT_EQ(log_.orders_.size(), 1u);
+  api_.Gone(3);
+  api_.OnRequest(0, 4, Evacuation("POST", "a"));
+  ConfirmReads();
+  EXPECT_EQ(log_.orders_.size(), 1u);
+  orders_.Apply(log_.orders_[0]);
+  api_.Applied(0, 1);
+  EXPECT_EQ(StatusOf(4), 200);
+}
+
+TEST_F(OperatorApiTest, AsksAMajorityOnceForEachCall) {
+  api_.OnRequest(0, 1, Call("GET", "", ""));
+  for (base::Millis now = 50; now < 800; now += 50) api_.Tick(now);
+  EXPECT_EQ(log_.reads_.size(), 1u);
+}
+
+TEST_F(OperatorApiTest, LeadershipThatWentAndCameBackIsLeadershipLost) {
+  api_.OnRequest(0, 1, Call("PUT", "0", Document(2, kRoute)));
+  ConfirmReads();
+  ASSERT_EQ(log_.proposed_.size(), 1u);
+  api_.RoleChanged(0);  // it settled
+  EXPECT_EQ(StatusOf(1), 0);
+  ++log_.term_;
+  api_.RoleChanged(0);  // leads, in another term: what stands at the entry's place is another's
+  EXPECT_EQ(StatusOf(1), 503);
+  api_.OnRequest(0, 2, Call("PUT", "0", Document(3, kRoute)));
+  ConfirmReads();
+  EXPECT_EQ(log_.proposed_.size(), 2u);  // waits for nothing
+}
+
+TEST_F(OperatorApiTest, RefusesNoZoneByAStateThatIsNotConfirmed) {
+  log_.leading_ = log_.settled_ = false;
+  api_.OnRequest(0, 1, Evacuation("POST", "unheard-of"));
+  EXPECT_EQ(StatusOf(1), 503);
+  log_.leading_ = log_.settled_ = true;
+  api_.OnRequest(0, 2, Evacuation("POST", "unheard-of"));
+  EXPECT_EQ(StatusOf(2), 0);
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(2), 404);
+}
+
+TEST_F(OperatorApiTest, AnEvacuatedZoneThatLostItsLastServerIsTakenBack) {
+  orders_.Apply({"a", true});
+  log_.zones_.clear();
+  api_.OnRequest(0, 1, Evacuation("POST", "a"));
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(1), 200);  // sent again
+  api_.OnRequest(0, 2, Evacuation("DELETE", "a"));
+  ConfirmReads();
+  ASSERT_EQ(log_.orders_.size(), 1u);
+  orders_.Apply(log_.orders_[0]);
+  api_.Applied(0, 1);
+  EXPECT_EQ(StatusOf(2), 200);
+}
+
+TEST_F(OperatorApiTest, HoldsABoundedSumOfBodies) {
+  std::string large(20u << 20, ' ');
+  api_.OnRequest(0, 1, Call("PUT", "0", large));
+  api_.OnRequest(0, 2, Call("PUT", "0", large));
+  EXPECT_EQ(StatusOf(1), 0);
+  EXPECT_EQ(StatusOf(2), 503);
+  api_.OnRequest(0, 3, Call("PUT", "0", Document(2, kRoute)));
+  EXPECT_EQ(StatusOf(3), 0);
+}
+
 TEST(ControlState, SnapshotsKeepAllOfItAndThoseOfBeforeAreRead) {
   controller::ControlState state;
   state.Apply(controller::MakeCommand(controller::Command::Kind::kConfiguration,
