Answers: one id and no other, no body where none may be, reading goes on after a pause

Cause: a review of every path on which an answer is matched to a request, or a request is sent again, found four faults in reading answers. - An answer with two attempt ids was judged by the first one. It names two requests and can't be told from another's; it now counts as one that names none. - A 204 or 304 whose head states a length swallowed as many bytes of what came next (and the request waited until its deadline); an interim answer with a length broke off the connection. Heads that can have no body now end the message. - A status outside 100 to 599 was taken for an answer and passed on. - A sink that paused at the last bytes of a large answer left the pooled connection with reading off: the next request on it got no answer before its deadline, and may have run. Ruled out in the review, with no change: tickets used twice, ends of sends that lost, a connection pooled for another life at the same address, "not sent" with bytes in the kernel, a second send of what may run once to the server that turned it away. Conclusion: no answer went to a wrong caller by these, but a request could be lost or wait in vain.

--- a/src/wire/http.cc
+++ b/src/wire/http.cc
@@ -162,11 +162,13 @@
   if (r->type_ == HTTP_REQUEST) m.method = http_method_str(static_cast<http_method>(p->method));
   m.keep_alive = http_should_keep_alive(p) != 0;
   if (r->type_ == HTTP_RESPONSE) {
+    // Whatever length such a head states, no body follows it.
     bool bodyless = r->to_head_ || m.status == 204 || m.status == 304 || m.status / 100 == 1;
     bool chunked = (p->flags & F_CHUNKED) != 0;
     bool length = p->content_length != UINT64_MAX;
     r->self_delimited_ = bodyless || chunked || length;
-    if (r->to_head_) return 1;
+    r->skip_body_ = bodyless;
+    if (bodyless) return 1;
   }
   return 0;
 }
@@ -226,7 +228,7 @@
       return digits ? Bad(413, "body too large") : Bad(400, "malformed length");
     }
     stated_length_ = length;
-    if (static_cast<size_t>(length) > limits.body_bytes && !to_head_) {
+    if (static_cast<size_t>(length) > limits.body_bytes && !skip_body_) {
       return Bad(413, "body too large");
     }
   }
@@ -235,6 +237,8 @@
     if (m.Count("Host") > 1) return Bad(400, "needs exactly one Host");
     const std::string* expect = m.Find("Expect");
     wants_continue_ = expect && EqualNoCase(*expect, "100-continue");
+  } else if (m.status < 100 || m.status > 599) {
+    return Bad(502, "status of no class");
   } else if (!self_delimited_) {
     return Bad(502, "answer without an end of its own");
   }
--- a/src/wire/http_client.cc
+++ b/src/wire/http_client.cc
@@ -88,8 +88,8 @@
 
 HttpConnection::Owner HttpConnection::OwnerOf(const Message& answer) const {
   if (!expect_header_) return Owner::kOurs;
+  if (answer.Count(expect_header_) != 1) return Owner::kUnknown;
   const std::string* value = answer.Find(expect_header_);
-  if (!value) return Owner::kUnknown;
   return *value == expect_value_ ? Owner::kOurs : Owner::kAnother;
 }
 
@@ -144,6 +144,7 @@
   outcome.ending = any_sent_ ? Ending::kAnswer : Ending::kBroken;
   if (!any_sent_) outcome.reason = "answer before the request";
   if (early || extra || spoilt_ || !outcome.answer.keep_alive) Close();
+  Pause(false);  // whoever took the body may have stopped the reading at its last bytes
   idle_since_ = base::SteadyMillis();
   if (const std::string* keep = outcome.answer.Find("Keep-Alive")) {
     size_t at = keep->find("timeout=");
--- a/src/wire/http_client.h
+++ b/src/wire/http_client.h
@@ -34,7 +34,7 @@
   void Send(std::string bytes, bool to_head, Done done);
   // The next answer belongs to the request only if its `header` says `value`. One that names
   // another answers an earlier request, late: it reaches nobody, and the next one is awaited. One
-  // that names none can't be told from that; the connection is then broken off.
+  // that names none, or more than one, can't be told from that; the connection is then broken off.
   void Expect(const char* header, std::string value) {
     expect_header_ = header;
     expect_value_ = std::move(value);
@@ -47,7 +47,7 @@
   void OnLarge(Large large) { large_ = std::move(large); }
   // Called when an answer of another request came, which is a sign that the server stutters.
   void OnStray(std::function<void()> stray) { stray_ = std::move(stray); }
-  // Stops reading while whoever takes the body can't keep up.
+  // Stops reading while whoever takes the body can't keep up, at the longest until its end.
   void Pause(bool pause);
   // Called when the connection, while idle, is closed or can no longer be trusted.
   void OnLost(std::function<void()> lost) { lost_ = std::move(lost); }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -117,6 +117,13 @@
       {"until the end", "HTTP/1.1 200 OK\r\n\r\nhi", 502},
       {"cut", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", -1},
       {"no answer at all", "garbage that is none\r\n\r\n", 400},
+      {"status below all classes", "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n", 502},
+      {"status above all classes", "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", 502},
+      {"no body though a length", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 0},
+      {"no body though chunks", "HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n", 0},
+      {"interim with a length",
+       "HTTP/1.1 103 E\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+       0},
   };
   for (const Case& c : cases) EXPECT_EQ(ReadStatus(HTTP_RESPONSE, c.bytes), c.status) << c.name;
 }
