A request refused for want of memory says when to come again

Cause: of the answers that give a request up where it hasn't run, the one for want of memory for its body was the only 503 without Retry-After; clients then come again when they like. Change: HttpServer::Refuse adds it. Ruled out: 408 and 431 stay as they are: the client was at fault, and comes again at once or never. Measured: AtMostOnce.ARequestThatIsGivenUpUnreadSaysWhenToComeAgain was seen to fail before the change and passes with it (ASan and UBSan).

--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -16,6 +16,8 @@
 constexpr base::Millis kAsleepMs = 400;
 // Bytes of further requests that may wait on a connection while one is being answered.
 constexpr size_t kPipelinedBytes = 64 << 10;
+// When a client may come again that there was no memory for, in seconds.
+constexpr const char* kRetryAfter = "0.1";
 }  // namespace
 
 // A request that was taken, and its answer as far as there is one.
@@ -226,6 +228,7 @@
   Slot slot;
   slot.close = true;
   slot.answer = std::make_unique<Message>(OwnAnswer(status, reason));
+  if (status == 503) slot.answer->headers.push_back({"Retry-After", kRetryAfter});
   c->slots.push_back(std::move(slot));
   Flush(c);
 }
--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -364,6 +364,19 @@
   }
 }
 
+// What is refused for want of memory has not run: the client is told when to come again.
+TEST_F(AtMostOnce, ARequestThatIsGivenUpUnreadSaysWhenToComeAgain) {
+  settings_.memory_mb = 0;
+  Open();
+  Client client(&loop_, settings_.front);
+  std::string request = stand_in::RequestText(false, "large", 2000, 100000);
+  client.Send(request.substr(0, 50000));
+  ASSERT_TRUE(RunUntil(
+      &loop_, [&] { return !client.answers.empty(); }, 1000));
+  EXPECT_EQ(client.answers[0].status, 503);
+  EXPECT_NE(client.answers[0].Find("Retry-After"), nullptr);
+}
+
 TEST_F(AtMostOnce, AConnectionThatRestedFourFifthsOfTheIdleTime) {
   idle_ms_ = 500;
   Open();
