Answers: a head that holds two status lines is no answer

Cause: a server in trouble may send bytes that belong to no request. Where such a piece ends within the first line of an earlier answer, or within a header in front of the attempt id, and comes while the connection carries a request, the request's own answer continues it: one head, with the own id but the status of the earlier answer. A piece of a 421 was then "not run": what may run once was sent again, or its client got a 503. A blank line in front of a head let folded headers through as well. Change: the reader refuses a head in which a status line stands anywhere behind its start, and one that begins with a blank line. The connection is closed, and the request may have run. Ruled out: a piece cut behind the whole id names two requests (refused since the ids are counted); one cut in a header's name is malformed; one cut in a body swallows the own answer and is another's. A header that only names the protocol ("Via: HTTP/1.1 x") passes. Conclusion: the status of an answer is its own.

--- a/src/wire/http.cc
+++ b/src/wire/http.cc
@@ -33,7 +33,7 @@
     for (unsigned char c : line) {
       if ((c < 0x20 && c != '\t') || c == 0x7f) return "control byte in the head";
     }
-    if (line.empty()) break;
+    if (line.empty()) return first ? "blank line before the head" : nullptr;
     if (first) {
       first = false;
       if (line.find("  ") != std::string_view::npos || line.find('\t') != std::string_view::npos) {
@@ -51,6 +51,24 @@
   return nullptr;
 }
 
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+// Whether a status line stands anywhere behind the start of an answer's head: then a piece of
+// another answer, cut off in its first line or in a header, stands in front of this one's, and its
+// status is not this one's.
+bool HoldsSecondStatusLine(std::string_view head) {
+  constexpr std::string_view kName = "HTTP/";
+  for (size_t at = head.find(kName, 1); at != std::string_view::npos;
+       at = head.find(kName, at + 1)) {
+    std::string_view rest = head.substr(at + kName.size());  // 1.1 200
+    if (rest.size() >= 7 && IsDigit(rest[0]) && rest[1] == '.' && IsDigit(rest[2]) &&
+        rest[3] == ' ' && IsDigit(rest[4]) && IsDigit(rest[5]) && IsDigit(rest[6])) {
+      return true;
+    }
+  }
+  return false;
+}
+
 MessageReader* Self(http_parser* p) { return static_cast<MessageReader*>(p->data); }
 
 }  // namespace
@@ -272,6 +290,9 @@
   std::string head(size, '\0');
   evbuffer_remove(in, head.data(), size);
   if (const char* fault = HeadFault(head)) return Bad(400, fault);
+  if (type_ == HTTP_RESPONSE && HoldsSecondStatusLine(head)) {
+    return Bad(400, "two answers in one head");
+  }
   body_limit_ = limits.body_bytes;
   size_t parsed = http_parser_execute(&parser_, &Callbacks(), head.data(), head.size());
   http_errno error = HTTP_PARSER_ERRNO(&parser_);
--- a/tests/at_most_once_test.cc
+++ b/tests/at_most_once_test.cc
@@ -225,6 +225,8 @@
     {"not executed", Deed::kNotExecuted, Verdict::kNotRun, true},
     {"not executed, another's", Deed::kOtherNotExecuted, Verdict::kUnknown, false},
     {"not executed, nobody's", Deed::kNoIdNotExecuted, Verdict::kMaybeRun, false},
+    {"behind a piece of a first line", Deed::kGluedReason, Verdict::kMaybeRun, false},
+    {"behind a piece of a header", Deed::kGluedValue, Verdict::kMaybeRun, false},
     {"cut in the head", Deed::kCutHead, Verdict::kMaybeRun, false},
     {"cut in the body", Deed::kCutBody, Verdict::kMaybeRun, false},
     {"reset after it", Deed::kReset, Verdict::kMaybeRun, false, When::kRequest, false},
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -31,6 +31,8 @@
   kNotExecuted,   // turned away
   kOtherNotExecuted,
   kNoIdNotExecuted,
+  kGluedReason,  // a piece of an earlier answer's first line, then its own answer
+  kGluedValue,   // the same, cut in the value of a header
   kCutHead,
   kCutBody,
   kExtra,  // bytes that are no answer behind its own
@@ -63,7 +65,8 @@
     std::string attempt;
     int connection;  // counted from 1
     bool ran;
-    int status;  // that its own answer bears, if it gets one
+    int status;   // that its own answer bears, if it gets one
+    bool spoilt;  // on a connection that had brought more than an answer, in one piece with it
   };
 
   Server(base::Loop* loop, std::string id, uint16_t first_port) : loop_(loop), id_(std::move(id)) {
@@ -112,6 +115,7 @@
     wire::MessageReader reader{HTTP_REQUEST};
     bool dead = false;
     bool part_asked = false;
+    bool spoilt = false;
     std::string with_next;  // bytes that come once the next request is here
     std::string before;     // the attempt id of the request before
     base::Timer timer;
@@ -231,7 +235,7 @@
     bool turned_away = misplaced || play.status == 421 || deed == Deed::kNotExecuted;
     int refusal = play.status / 100 == 2 ? 503 : play.status;
     int answered = misplaced ? 421 : deed == Deed::kNotExecuted ? refusal : play.status;
-    Arrival arrival{attempt, c->number, !turned_away, answered};
+    Arrival arrival{attempt, c->number, !turned_away, answered, c->spoilt};
     if (on_arrival) {
       on_arrival(arrival);
     } else {
@@ -246,6 +250,8 @@
     std::string other = Answer(play.status, {before}, BodyOf(before));
     const std::string refused = "Elderkeel-Not-Executed: 1\r\n";
     c->before = attempt;
+    c->spoilt |= !misplaced && (deed == Deed::kTwice || deed == Deed::kPieces ||
+                                deed == Deed::kOtherThenOwn || deed == Deed::kExtra);
     if (misplaced) return Write(c, Answer(421, {attempt}, ""));
     switch (deed) {
       case Deed::kInterim:
@@ -273,6 +279,10 @@
         return Write(c, Answer(refusal, {before}, "", refused));
       case Deed::kNoIdNotExecuted:
         return Write(c, Answer(refusal, {}, "", refused));
+      case Deed::kGluedReason:
+        return Write(c, "HTTP/1.1 421 " + own);
+      case Deed::kGluedValue:
+        return Write(c, "HTTP/1.1 421 X\r\nX-Cut: " + own);
       case Deed::kCutHead:
         Write(c, own.substr(0, 30));
         return EndSide(c);
