--- a/src/wire/http.cc
+++ b/src/wire/http.cc
@@ -33,7 +33,7 @@
     for (unsigned char c : line) {
       if ((c < 0x20 && c != '\t') || c == 0x7f) return "control byte in the head";
     }
-    if (line.empty()) break;
+    if (line.empty()) return first ? "blank line before the head" : nullptr;
     if (first) {
       first = false;
       if (line.find("  ") != std::string_view::npos || line.find('\t') != std::string_view::npos) {
@@ -51,6 +51,24 @@
   return nullptr;
 }
 
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+// Whether a status line stands anywhere behind the start of an answer's head: then a piece of
+// another answer, cut off in its first line or in a header, stands in front of this one's, and its
+// status is not this one's.
+bool HoldsSecondStatusLine(std::string_view head) {
+  constexpr std::string_view kName = "HTTP/";
+  for (size_t at = head.find(kName, 1); at != std::string_view::npos;
+       at = head.find(kName, at + 1)) {
+    std::string_view rest = head.substr(at + kName.size());  // 1.1 200
+    if (rest.size() >= 7 && IsDigit(rest[0]) && rest[1] == '.' && IsDigit(rest[2]) &&
+        rest[3] == ' ' && IsDigit(rest[4]) && IsDigit(rest[5]) && IsDigit(rest[6])) {
+      return true;
+    }
+  }
+  return false;
+}
+
 MessageReader* Self(http_parser* p) { return static_cast<MessageReader*>(p->data); }
 
 }  // namespace
@@ -162,11 +180,13 @@
   if (r->type_ == HTTP_REQUEST) m.method = http_method_str(static_cast<http_method>(p->method));
   m.keep_alive = http_should_keep_alive(p) != 0;
   if (r->type_ == HTTP_RESPONSE) {
+    // Whatever length such a head states, no body follows it.
     bool bodyless = r->to_head_ || m.status == 204 || m.status == 304 || m.status / 100 == 1;
     bool chunked = (p->flags & F_CHUNKED) != 0;
     bool length = p->content_length != UINT64_MAX;
     r->self_delimited_ = bodyless || chunked || length;
-    if (r->to_head_) return 1;
+    r->skip_body_ = bodyless;
+    if (bodyless) return 1;
   }
   return 0;
 }
@@ -226,7 +246,7 @@
       return digits ? Bad(413, "body too large") : Bad(400, "malformed length");
     }
     stated_length_ = length;
-    if (static_cast<size_t>(length) > limits.body_bytes && !to_head_) {
+    if (static_cast<size_t>(length) > limits.body_bytes && !skip_body_) {
       return Bad(413, "body too large");
     }
   }
@@ -235,6 +255,8 @@
     if (m.Count("Host") > 1) return Bad(400, "needs exactly one Host");
     const std::string* expect = m.Find("Expect");
     wants_continue_ = expect && EqualNoCase(*expect, "100-continue");
+  } else if (m.status < 100 || m.status > 599) {
+    return Bad(502, "status of no class");
   } else if (!self_delimited_) {
     return Bad(502, "answer without an end of its own");
   }
@@ -268,6 +290,9 @@
   std::string head(size, '\0');
   evbuffer_remove(in, head.data(), size);
   if (const char* fault = HeadFault(head)) return Bad(400, fault);
+  if (type_ == HTTP_RESPONSE && HoldsSecondStatusLine(head)) {
+    return Bad(400, "two answers in one head");
+  }
   body_limit_ = limits.body_bytes;
   size_t parsed = http_parser_execute(&parser_, &Callbacks(), head.data(), head.size());
   http_errno error = HTTP_PARSER_ERRNO(&parser_);
