A starting proxy serves only what a fresh answer of the core confirms as current

A proxy kept one nonce for its whole life and took any reply that carried it. A reply that was held up on a cut link or by a frozen leader confirmed what had been current long before; a revision once told counted for good, so that a proxy which got the configuration much later, while a newer one was in force, called itself confirmed; a late answer to an older question took back a newer one. Orders to evacuate and the state of the roll-outs were not asked for at all. And requests were answered, and after 1.5 s readiness claimed, with what any neighbour, cut off or not, had handed over.

news::Confirmation is now the proxy's side, pure: every question has a nonce of its own, its answer counts for 1 s from the question, what answers told of is never unsaid, and configuration, orders and roll-outs must all be held. The front answers 503 until then. The patience with a core that confirms nothing is 30 s, longer than a machine of it is cut off for.

Ruled out: asking for the epoch of the list as well. A holder that was just named may have read nothing yet, and with the platform down no proxy would start.

Readiness' expectation at 1.6 s is turned round, since it was the fault itself.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -372,7 +372,11 @@
   if (at == confirms_.end()) return;
   news::ConfirmReply reply;
   reply.nonce = at->second.nonce;
-  if (confirmed) reply.revision = state_.configuration.revision();
+  if (confirmed) {
+    reply.confirmed = true;
+    reply.versions = {state_.configuration.revision(), state_.orders.version(),
+                      state_.rollouts.version()};
+  }
   fleet_->mesh().Send(at->second.from, wire::Kind::kConfirmReply, reply);
   confirms_.erase(at);
 }
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -305,7 +305,7 @@
 void Front::Reject(Ticket ticket, int status, const char* reason, const std::string& attempt) {
   Message answer = wire::OwnAnswer(status, reason);
   if (status == 503)
-    answer.headers.push_back({"Retry-After", able() ? kRetryAfter : kStartRetryAfter});
+    answer.headers.push_back({"Retry-After", serving_ ? kRetryAfter : kStartRetryAfter});
   telemetry::RequestRecord record;
   record.SetAttempt(attempt);
   record.SetReason(reason);
@@ -320,6 +320,7 @@
   const std::string* id = request.Find(kAttempt);
   std::string attempt = id ? *id : "";
   if (!able()) return Reject(ticket, 503, "no configuration or list yet", attempt);
+  if (!serving_) return Reject(ticket, 503, "the configuration is not confirmed yet", attempt);
   if (request.method == "CONNECT" || request.method == "TRACE") {
     return Reject(ticket, 405, "method not forwarded", attempt);
   }
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -62,6 +62,8 @@
             base::SteadyMillis() - has_catalog_at_ > kVersionsPatienceMs);
   }
   bool versions_known() const { return versions_ > 0; }
+  // Until what is held is known to be current, requests get 503 too.
+  void SetServing(bool serving) { serving_ = serving; }
 
   void SetLeaving() { server_.SetLeaving(true); }
   void StopListening() { server_.StopListening(); }
@@ -177,6 +179,7 @@
   base::Names routes_;
   std::shared_ptr<const configuration::Table> table_;
   base::Millis has_catalog_at_ = -1;
+  bool serving_ = false;
   uint64_t versions_ = 0;  // of the state of the roll-outs
   static constexpr base::Millis kVersionsPatienceMs = 1500;
   Servers servers_;
--- a/src/news/confirm.h
+++ b/src/news/confirm.h
@@ -2,11 +2,27 @@
 
 #include <cereal/types/string.hpp>
 #include <cstdint>
+#include <deque>
+#include <optional>
 #include <string>
 
+#include "base/clock.h"
+#include "base/settings.h"
+
 namespace elderkeel::news {
 
-// A proxy asks the core whether its configuration is the current one.
+// Of what the log decides and the news carries: how new it is.
+struct Versions {
+  int64_t revision = 0;     // of the configuration
+  uint64_t evacuation = 0;  // of the orders to evacuate zones
+  uint64_t rollouts = 0;    // of the state of the roll-outs
+  template <class A>
+  void serialize(A& a) {
+    a(revision, evacuation, rollouts);
+  }
+};
+
+// A proxy asks the core whether what it holds is current.
 struct Confirm {
   uint64_t nonce = 0;
   template <class A>
@@ -16,13 +32,43 @@
 };
 struct ConfirmReply {
   uint64_t nonce = 0;
-  int64_t revision = -1;  // -1: not confirmed; ask the leader if one is named
+  bool confirmed = false;  // by a majority after the question came; if not, ask the leader named
+  Versions versions;
   std::string leader_ip;
   uint16_t leader_port = 0;
   template <class A>
   void serialize(A& a) {
-    a(nonce, revision, leader_ip, leader_port);
+    a(nonce, confirmed, versions, leader_ip, leader_port);
   }
 };
 
+// A starting proxy's side, pure. What it holds counts as current only while it knows by an answer
+// what was current at most `patience` ago: the time runs from its own question, so neither a reply
+// that was held up on its way or by a process that slept nor one to an earlier life counts.
+class Confirmation {
+ public:
+  // Nonces count up from `seed`, which no other life of the process uses.
+  explicit Confirmation(uint64_t seed, base::Millis patience = 1000)
+      : patience_(patience), next_nonce_(seed) {}
+
+  Confirm Ask(base::Millis now);
+  // Where to put the same question, if the one asked names a leader.
+  std::optional<base::Address> OnReply(base::Millis now, const ConfirmReply& reply);
+  // Whether what is held is as new as a fresh answer says. Then nothing needs to be asked any more.
+  bool Holds(base::Millis now, const Versions& held) const;
+  // The newest that answers told of.
+  const Versions& wanted() const { return wanted_; }
+
+ private:
+  struct Question {
+    uint64_t nonce;
+    base::Millis asked;
+  };
+  base::Millis patience_;
+  uint64_t next_nonce_;
+  std::deque<Question> questions_;  // those that may still be answered
+  Versions wanted_;
+  base::Millis known_at_ = -1;  // when the question was put whose answer is the newest
+};
+
 }  // namespace elderkeel::news
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -6,7 +6,6 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "directory/directory.h"
-#include "news/confirm.h"
 
 namespace elderkeel::proxy {
 namespace {
@@ -14,7 +13,8 @@
 constexpr base::Millis kTickMs = 100;
 constexpr base::Millis kAskEveryMs = 250;
 constexpr base::Millis kConfirmEveryMs = 100;  // the core answers all proxies that just started
-constexpr base::Millis kHurryMs = 25;  // between looks at what is still missing after a start
+constexpr base::Millis kHurryMs = 25;      // between looks at what is still missing after a start
+constexpr base::Millis kHurriedMs = 3000;  // after the start; a core that is settled has confirmed
 constexpr base::Millis kFirstCatalogMs = 1500;  // a node that has none asks for itself after this
 constexpr base::Millis kTallyEveryMs = 250;
 constexpr base::Millis kMovingTallyEveryMs = 100;  // while traffic moves to a new version
@@ -24,7 +24,10 @@
 }  // namespace
 
 Proxy::Proxy(base::Loop* loop, base::Settings settings, std::string settings_path)
-    : loop_(loop), settings_(std::move(settings)), settings_path_(std::move(settings_path)) {
+    : loop_(loop),
+      settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      confirmation_(base::SystemSeed()) {
   readiness::Readiness::Options options;
   options.grace = settings_.grace_s * 1000;
   // Clients of a directory keep an answer up to three times as long as it says.
@@ -169,36 +172,43 @@
   }
   if (kind != wire::Kind::kConfirmReply) return;
   auto reply = wire::Decode<news::ConfirmReply>(payload);
-  if (!reply || reply->nonce != nonce_) return;
-  if (reply->revision >= 0) {
-    wanted_revision_ = reply->revision;
-  } else if (!reply->leader_ip.empty()) {
-    fleet_->mesh().Send({reply->leader_ip, reply->leader_port}, wire::Kind::kConfirm,
-                        news::Confirm{nonce_});
+  if (!reply) return;
+  base::Millis now = base::SteadyMillis();
+  if (auto leader = confirmation_.OnReply(now, *reply)) {
+    fleet_->mesh().Send(*leader, wire::Kind::kConfirm, news::Confirm{reply->nonce});
   }
+  NoteConfirmed(now);
 }
 
-void Proxy::AskConfirmation(base::Millis now) {
-  if (readiness_.confirmed()) return;
-  if (wanted_revision_ > 0 && fleet_->news().revision() >= wanted_revision_) {
+void Proxy::NoteConfirmed(base::Millis now) {
+  const news::Exchange& news = fleet_->news();
+  if (!readiness_.confirmed() && confirmation_.Holds(now, {news.revision(), news.orders().version(),
+                                                           news.rollouts().version()})) {
     readiness_.Confirmed();
-    base::Info("configuration.confirmed", {{"revision", fleet_->news().revision()}});
-    return;
+    base::Info("configuration.confirmed", {{"revision", news.revision()}});
   }
-  if (now < ask_at_) return;
+  if (front_->able()) readiness_.Able(now);
+  front_->SetServing(readiness_.Serving(now));
+}
+
+void Proxy::AskConfirmation(base::Millis now) {
+  NoteConfirmed(now);
+  if (readiness_.confirmed() || now < ask_at_) return;
   ask_at_ = now + kAskEveryMs;
   std::vector<base::Address> controllers = fleet_->Controllers();
   if (controllers.empty()) return;
-  if (nonce_ == 0) nonce_ = base::SystemSeed() | 1;
   const base::Address& to = controllers[next_controller_++ % controllers.size()];
   if (now >= confirm_at_) {
     confirm_at_ = now + kConfirmEveryMs;
-    fleet_->mesh().Send(to, wire::Kind::kConfirm, news::Confirm{nonce_});
+    fleet_->mesh().Send(to, wire::Kind::kConfirm, confirmation_.Ask(now));
   }
   // What it lacks it asks of the first that says to have it: the whole of it is large, and must not
   // come from several at once.
-  if (fleet_->news().revision() < std::max<int64_t>(1, wanted_revision_) ||
-      !fleet_->news().has_catalog() || (settings_.VersionsByOrder() && !front_->versions_known())) {
+  const news::Exchange& news = fleet_->news();
+  const news::Versions& wanted = confirmation_.wanted();
+  if (news.revision() < std::max<int64_t>(1, wanted.revision) ||
+      news.orders().version() < wanted.evacuation || news.rollouts().version() < wanted.rollouts ||
+      !news.has_catalog() || (settings_.VersionsByOrder() && !front_->versions_known())) {
     fleet_->AskDigest(to);
   }
 }
@@ -252,10 +262,12 @@
   }
 }
 
-// A node without a configuration or a list serves nobody: it looks and asks more often than later.
+// A node that has just started and serves nobody yet looks and asks more often than later.
 void Proxy::Hurry() {
-  if (front_->able() || readiness_.leaving()) return;
   base::Millis now = base::SteadyMillis();
+  if (started_at_ == 0) started_at_ = now;
+  bool done = front_->able() && (readiness_.confirmed() || now - started_at_ > kHurriedMs);
+  if (done || readiness_.leaving()) return;
   ask_at_ = std::min(ask_at_, now + kHurryMs);
   AskConfirmation(now);
   hurry_.Start(loop_, kHurryMs, [this] { Hurry(); });
@@ -287,12 +299,12 @@
   base::Millis now = base::SteadyMillis();
   TakePlace();
   TellWatchers(now);
-  fleet_->SetReady(readiness_.Ready(now));
-  if (front_->able()) readiness_.Able(now);
+  NoteConfirmed(now);
   if (!readiness_.leaving()) {
     AskConfirmation(now);
     ReadForItself(now);
   }
+  fleet_->SetReady(readiness_.Ready(now));
   switch (readiness_.At(now, front_->busy())) {
     case readiness::Readiness::Phase::kServing:
     case readiness::Readiness::Phase::kAccepting:
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -7,6 +7,7 @@
 #include "catalog/platform.h"
 #include "diagnosis/diagnosis.h"
 #include "forwarding/front.h"
+#include "news/confirm.h"
 #include "news/fleet.h"
 #include "readiness/readiness.h"
 #include "readiness/settings_watch.h"
@@ -33,6 +34,8 @@
   void TakePlace();
   void Hurry();
   void AskConfirmation(base::Millis now);
+  // Takes note if what is held is confirmed as current, and serves by it.
+  void NoteConfirmed(base::Millis now);
   void ReadForItself(base::Millis now);
   // Tells the watchers of roll-outs under way what this proxy counts.
   void TellWatchers(base::Millis now);
@@ -52,11 +55,11 @@
   base::Timer tick_;
   base::Timer hurry_;
 
-  uint64_t nonce_ = 0;
+  news::Confirmation confirmation_;
+  base::Millis started_at_ = 0;
   base::Millis ask_at_ = 0;
   base::Millis confirm_at_ = 0;
   size_t next_controller_ = 0;
-  int64_t wanted_revision_ = -1;  // what the core confirmed as current
   base::Millis read_at_ = 0;
   base::Millis tally_at_ = 0;
   base::Millis ask_touch_at_ = 0;
--- a/src/readiness/readiness.h
+++ b/src/readiness/readiness.h
@@ -6,14 +6,14 @@
 
 // When a proxy calls itself ready, and the steps of its leaving. Pure.
 //
-// A proxy is ready once it has a catalog and a configuration that the core has confirmed as
-// current. If the core can't confirm, since it has no majority just then, what other nodes serve by
-// is good enough after a while: an old configuration serves better than none, and news replaces it.
+// A proxy serves, and is ready, once it has a catalog and what the core has confirmed as current.
+// If the core can't confirm for longer than a machine of it is cut off for, what other nodes serve
+// by is good enough: an old configuration serves better than none for good, and news replaces it.
 class Readiness {
  public:
   struct Options {
-    base::Millis unconfirmed = 1500;  // patience with a core that does not confirm
-    base::Millis notice = 2500;       // the platform may still send for so long after "not ready"
+    base::Millis unconfirmed = 30000;  // patience with a core that does not confirm
+    base::Millis notice = 2500;        // the platform may still send for so long after "not ready"
     base::Millis grace = 6000;
   };
   enum class Phase { kServing, kAccepting, kFinishing, kAnswering, kEnd };
@@ -31,10 +31,11 @@
   bool leaving() const { return left_at_ >= 0; }
   bool confirmed() const { return confirmed_; }
 
-  bool Ready(base::Millis now) const {
-    if (leaving() || able_at_ < 0) return false;
-    return confirmed_ || now - able_at_ >= options_.unconfirmed;
+  // May answer requests by what it holds.
+  bool Serving(base::Millis now) const {
+    return able_at_ >= 0 && (confirmed_ || now - able_at_ >= options_.unconfirmed);
   }
+  bool Ready(base::Millis now) const { return !leaving() && Serving(now); }
 
   // Leaving: first connections are still accepted, since the platform learns only by asking; then
   // what is here is finished; near the end of grace what is left is answered; then the end.
--- a/tests/forwarding_test.cc
+++ b/tests/forwarding_test.cc
@@ -280,13 +280,19 @@
   EXPECT_FALSE(r.Ready(0));
   r.Able(100);
   EXPECT_FALSE(r.Ready(1000));
-  EXPECT_TRUE(r.Ready(1600));  // the core can't confirm: what others serve by must do
+  // Through a cut of twenty seconds nothing unconfirmed is served; for good, what others serve by
+  // must do.
+  EXPECT_FALSE(r.Ready(1600));
+  EXPECT_FALSE(r.Serving(25000));
+  EXPECT_TRUE(r.Serving(30100));
+  EXPECT_TRUE(r.Ready(30100));
   readiness::Readiness c;
   c.Able(100);
   c.Confirmed();
   EXPECT_TRUE(c.Ready(101));
   c.Leave(10000);
   EXPECT_FALSE(c.Ready(10000));
+  EXPECT_TRUE(c.Serving(10000));  // what is here is finished
   struct Case {
     base::Millis at;
     size_t busy;
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -105,6 +105,7 @@
     for (uint16_t port = 20000; port < 21000; ++port) {
       settings_.front = {"127.0.0.1", port};
       front_ = std::make_unique<Front>(&loop_, settings_, &recorder_);
+      front_->SetServing(true);
       if (front_->Listen().ok()) break;
     }
   }
@@ -301,6 +302,7 @@
         settings_.front.port += 1;
         front_ = std::make_unique<Front>(&loop_, settings_, &recorder_);
       }
+      front_->SetServing(true);
       catalog_.servers.clear();
       auto* bad = Serve("i-bad", c.bad);
       auto* good = Serve("i-good", [](const std::string& r) { return Good(r); });
@@ -322,6 +324,16 @@
   }
 }
 
+TEST_F(FrontTest, ServesNothingUntilWhatItHoldsIsConfirmed) {
+  auto* server = Serve("i-1", [](const std::string& r) { return Good(r); });
+  Configure();
+  front_->SetServing(false);
+  EXPECT_EQ(Status(Exchange(Ask("get"))), 503);
+  EXPECT_TRUE(server->requests.empty());
+  front_->SetServing(true);
+  EXPECT_EQ(Status(Exchange(Ask("get"))), 200);
+}
+
 TEST_F(FrontTest, RefusesWhatItMustNotForward) {
   auto* server = Serve("i-1", [](const std::string& r) { return Good(r); });
   std::string big(700, 'x');
