--- /dev/null
+++ b/tests/change_cost.cc
@@ -0,0 +1,187 @@
+// What one change of the configuration costs, by the size of the document: on the leader (judged,
+// applied, committed to the news, written to a snapshot) and on a proxy (a patch or a whole
+// document adopted, the table made of it). Prints the median and the spread of each step in
+// microseconds and the bytes of heap that are held. Not part of CI; docs/CAPACITY.md holds what it
+// gave.
+//
+//   change_cost [SIZES, such as 400,4300,20000] [REPEATS]
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <sstream>
+
+#include "configuration/document.h"
+#include "configuration/register.h"
+#include "news/exchange.h"
+#include "ring/membership.h"
+#include "wire/frame.h"
+
+namespace elderkeel {
+namespace {
+
+constexpr int kServices = 170;
+
+std::string Route(int r, int timeout_ms) {
+  std::ostringstream f;
+  f << R"({"label":"route-)" << r << R"(","host":"h)" << r
+    << R"(.example","path-prefix":"/p/","variant":"idempotent","timeout-ms":)" << timeout_ms
+    << R"(,"target-latency-ms":400,"priority":1,"target":"s)" << r % kServices
+    << R"(","max-attempts":2,"allowed-regions":["r0","r1"]})";
+  return f.str();
+}
+
+std::string Whole(int64_t revision, int routes) {
+  std::ostringstream f;
+  f << R"({"revision":)" << revision << R"(,"route-list":[)";
+  for (int r = 0; r < routes; ++r) f << (r ? "," : "") << Route(r, 1000);
+  f << R"(],"service-list":[)";
+  for (int s = 0; s < kServices; ++s) {
+    f << (s ? "," : "") << R"({"label":"s)" << s
+      << R"(","health-path":"/health","max-conns":100,"protocol":"h1","tls":false})";
+  }
+  return f.str() + "]}";
+}
+
+std::string Patch(int64_t revision, int route) {
+  return R"({"revision":)" + std::to_string(revision) + R"(,"upsert":{"route-list":[)" +
+         Route(route, 1000 + static_cast<int>(revision % 1000)) + "]}}";
+}
+
+size_t Held() { return mallinfo2().uordblks; }
+
+// Times of steps, in microseconds, by name; printed in the order of their first use.
+class Times {
+ public:
+  template <class F>
+  void Add(const std::string& name, F step) {
+    auto begin = std::chrono::steady_clock::now();
+    step();
+    std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begin;
+    auto [at, added] = taken_.emplace(name, std::vector<double>());
+    if (added) order_.push_back(name);
+    at->second.push_back(took.count());
+  }
+  void Print(int routes) {
+    for (const std::string& name : order_) {
+      std::vector<double>& all = taken_[name];
+      std::sort(all.begin(), all.end());
+      std::printf("%6d routes  %-44s %10.1f us  (%.1f to %.1f, %zu times)\n", routes, name.c_str(),
+                  all[all.size() / 2], all.front(), all.back(), all.size());
+    }
+  }
+
+ private:
+  std::map<std::string, std::vector<double>> taken_;
+  std::vector<std::string> order_;
+};
+
+ring::Membership::Options Self(ring::Program program) {
+  ring::Membership::Options options;
+  options.self.ip = "127.0.0.1";
+  options.self.port = 1;
+  options.self.id = 1;
+  options.self.program = program;
+  options.self.zone = "z";
+  options.self.life = 1;
+  return options;
+}
+
+void Expect(bool held, const char* what) {
+  if (held) return;
+  std::fprintf(stderr, "change_cost: %s\n", what);
+  std::exit(1);
+}
+
+void Measure(int routes, int repeats) {
+  Times times;
+  ring::Membership controllers(Self(ring::Program::kController), {}, 0);
+  ring::Membership proxies(Self(ring::Program::kProxy), {}, 0);
+  const base::Address from{"127.0.0.2", 1};
+  size_t before = Held();
+  auto leader = std::make_unique<configuration::Register>();
+  auto told = std::make_unique<news::Exchange>(news::Exchange::Options(), &controllers, 0);
+  auto adopts = std::make_unique<news::Exchange>(news::Exchange::Options(), &proxies, 0);
+  base::Names names, regions;
+  std::shared_ptr<const configuration::Table> table;
+  int64_t revision = 0;
+  // One change through all that happens to it; `kind` leads the names of its steps.
+  auto change = [&](const std::string& kind, bool patch) {
+    int64_t base = revision++;
+    configuration::Change c{patch, base,
+                            patch ? Patch(revision, static_cast<int>(revision * 7919 % routes))
+                                  : Whole(revision, routes)};
+    configuration::Register::Verdict verdict;
+    times.Add(kind + ", leader: Judge", [&] { verdict = leader->Judge(c); });
+    Expect(verdict.status == 0, verdict.reason.c_str());
+    bool applied = false;
+    times.Add(kind + ", leader: Apply", [&] { applied = leader->Apply(c); });
+    Expect(applied, "a change was not applied");
+    times.Add(kind + ", leader: Judge after it", [&] { verdict = leader->Judge(c); });
+    Expect(verdict.status == 200, "a change is not known again");
+    times.Add(kind + ", leader: Exchange::Commit", [&] {
+      told->Commit(0, *leader);
+      told->Take();
+    });
+    times.Add(kind + ", proxy: Exchange::OnConfig", [&] {
+      adopts->OnConfig(0, from, {revision, patch ? base : 0, c.body});
+      adopts->Take();
+    });
+    Expect(adopts->revision() == revision, "a change was not adopted");
+    times.Add(kind + ", proxy: Table", [&] {
+      table = configuration::Table::Build(adopts->config_text(), &names, &regions);
+    });
+    Expect(table && table->revision() == revision, "a table is not of the change");
+  };
+  for (int i = 0; i < std::max(3, repeats / 4); ++i) change("whole", false);
+  size_t after_whole = Held();
+  change("first patch", true);
+  for (int i = 0; i < repeats; ++i) change("patch", true);
+  Expect(leader->text() == adopts->config_text(), "leader and proxy hold different documents");
+  for (int i = 0; i < std::max(3, repeats / 4); ++i) {
+    bool has = false;
+    times.Add("HasService",
+              [&] { has = configuration::HasService(leader->text(), "s" + std::to_string(i)); });
+    Expect(has, "a service is missing");
+    size_t labels = 0;
+    times.Add("RouteLabels", [&] { labels = configuration::RouteLabels(leader->text()).size(); });
+    Expect(labels == static_cast<size_t>(routes), "a label is missing");
+    change("patch", true);
+    size_t bytes = 0;
+    times.Add("snapshot of the register", [&] { bytes = wire::Encode(*leader).size(); });
+    Expect(bytes > leader->text().size(), "a snapshot is too short");
+  }
+  times.Print(routes);
+  std::printf("%6d routes  document %zu bytes\n", routes, leader->text().size());
+  change("patch", true);
+  size_t all = Held();
+  auto print = [&](const char* what, size_t bytes) {
+    std::printf("%6d routes  held: %-38s %10zu bytes\n", routes, what, bytes);
+  };
+  print("everything after a whole change", after_whole - before);
+  print("everything after patches", all - before);
+  auto drop = [&](const char* what, auto* of) {
+    size_t full = Held();
+    of->reset();
+    print(what, full - Held());
+  };
+  drop("table of a proxy", &table);
+  drop("news of a proxy", &adopts);
+  drop("news of a controller", &told);
+  drop("register", &leader);
+}
+
+}  // namespace
+}  // namespace elderkeel
+
+int main(int argc, char** argv) {
+  std::stringstream sizes(argc > 1 ? argv[1] : "400,4300,20000");
+  int repeats = argc > 2 ? std::atoi(argv[2]) : 40;
+  std::string size;
+  while (std::getline(sizes, size, ',')) elderkeel::Measure(std::atoi(size.c_str()), repeats);
+  return 0;
+}
