Patches are folded into an indexed document; a change is judged by what it holds

A patch of one route cost in proportion to the document: its whole text was parsed three times, its whole form checked and its whole text written, once to judge it, again to apply it on every controller, and parsed and written again by every proxy.

The accepted document is now kept with an index of its routes and services by label beside its text (IndexedDocument), made when it is first needed. A patch is read into a fold; its items alone are checked for their form, its places against the set of places in use, its services against a count of uses. Whatever the fold can't accept goes the old way through the whole document, so refusals and their reasons come from the code that gave them before. Proxies and the news of a controller fold a committed patch without checking it again. A whole configuration is parsed once instead of three times, and the leader keeps its verdict between judging and applying.

A kept verdict can't be of another state, since applying drops it; that guard alone is not told by a test.

--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -1,6 +1,6 @@
 #include "configuration/document.h"
 
-#include <rapidjson/document.h>
+#include <rapidjson/schema.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "base/settings.h"
+#include "configuration/json.h"
 
 namespace elderkeel::configuration {
 namespace {
@@ -98,18 +99,6 @@
   return schema;
 }
 
-bool ReadInto(std::string_view text, Document* document) {
-  if (TooDeep(text)) return false;
-  document->Parse<kParse>(text.data(), text.size());
-  return !document->HasParseError() && document->IsObject();
-}
-
-std::string Lower(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return text;
-}
-
 Refusal Bad(std::string reason) { return Refusal{400, std::move(reason)}; }
 
 Refusal CrossCheck(const Document& d) {
@@ -127,33 +116,18 @@
     if (!places.insert({Lower(r["host"].GetString()), r["path-prefix"].GetString()}).second) {
       return Bad("route " + label + ": another route has the same host and prefix");
     }
-    bool one = r.HasMember("target"), many = r.HasMember("weighted-targets");
-    if (one == many) return Bad("route " + label + ": needs target or weighted-targets");
-    if (one) {
-      if (!services.count(r["target"].GetString())) {
-        return Bad("route " + label + ": unknown service " + r["target"].GetString());
-      }
-      continue;
+    Targets targets = TargetsOf(r);
+    if (targets.services.empty()) {
+      return Bad("route " + label + ": needs target or weighted-targets");
     }
-    int64_t sum = 0;
-    for (const Value& t : r["weighted-targets"].GetArray()) {
-      if (!services.count(t["target"].GetString())) {
-        return Bad("route " + label + ": unknown service " + t["target"].GetString());
-      }
-      sum += t["weight"].GetInt64();
+    for (const std::string& service : targets.services) {
+      if (!services.count(service)) return Bad("route " + label + ": unknown service " + service);
     }
-    if (sum == 0) return Bad("route " + label + ": weights add up to 0");
+    if (targets.weight == 0) return Bad("route " + label + ": weights add up to 0");
   }
   return Refusal{0, ""};
 }
 
-std::string Write(const Document& d) {
-  rapidjson::StringBuffer buffer;
-  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
-  d.Accept(writer);
-  return std::string(buffer.GetString(), buffer.GetSize());
-}
-
 int64_t Whole(const Value& object, const char* name, int64_t otherwise) {
   auto at = object.FindMember(name);
   if (at == object.MemberEnd() || !at->value.IsNumber()) return otherwise;
@@ -162,6 +136,43 @@
 
 }  // namespace
 
+bool ReadObject(std::string_view text, Document* document) {
+  if (TooDeep(text)) return false;
+  document->Parse<kParse>(text.data(), text.size());
+  return !document->HasParseError() && document->IsObject();
+}
+
+std::string WriteJson(const Value& value) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  value.Accept(writer);
+  return std::string(buffer.GetString(), buffer.GetSize());
+}
+
+std::string Lower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return text;
+}
+
+bool HasForm(const Document& document) {
+  static const rapidjson::SchemaDocument compiled(Schema());
+  rapidjson::SchemaValidator validator(compiled);
+  return document.Accept(validator);
+}
+
+Targets TargetsOf(const Value& route) {
+  Targets targets;
+  bool one = route.HasMember("target"), many = route.HasMember("weighted-targets");
+  if (one == many) return targets;
+  if (one) return {{route["target"].GetString()}, 1};
+  for (const Value& t : route["weighted-targets"].GetArray()) {
+    targets.services.push_back(t["target"].GetString());
+    targets.weight += t["weight"].GetInt64();
+  }
+  return targets;
+}
+
 Refusal CheckReadable(std::string_view text) {
   Document d;
   if (TooDeep(text)) return Bad("nested too deep");
@@ -173,21 +184,22 @@
 
 int64_t RevisionOf(std::string_view text) {
   Document d;
-  if (!ReadInto(text, &d)) return 0;
+  if (!ReadObject(text, &d)) return 0;
   return Whole(d, "revision", 0);
 }
 
-Refusal CheckValid(std::string_view text) {
+Refusal CheckValid(std::string_view text, int64_t* revision) {
   Document d;
-  if (!ReadInto(text, &d)) return Bad("can't be read whole");
+  if (!ReadObject(text, &d)) return Bad("can't be read whole");
   std::string fault = base::SchemaFault(Schema(), d);
   if (!fault.empty()) return Bad(fault);
+  if (revision) *revision = Whole(d, "revision", 0);
   return CrossCheck(d);
 }
 
 Patched ApplyPatch(std::string_view base, std::string_view patch) {
   Document d, p;
-  if (!ReadInto(base, &d) || !ReadInto(patch, &p)) return {"", Bad("can't be read whole")};
+  if (!ReadObject(base, &d) || !ReadObject(patch, &p)) return {"", Bad("can't be read whole")};
   auto& a = d.GetAllocator();
   auto revision = p.FindMember("revision");
   if (revision == p.MemberEnd() || !revision->value.IsInt64()) {
@@ -252,13 +264,13 @@
       }
     }
   }
-  return {Write(d), Refusal{0, ""}};
+  return {WriteJson(d), Refusal{0, ""}};
 }
 
 std::vector<std::string> RouteLabels(std::string_view text) {
   std::vector<std::string> labels;
   Document d;
-  if (!ReadInto(text, &d) || !d.HasMember("route-list") || !d["route-list"].IsArray())
+  if (!ReadObject(text, &d) || !d.HasMember("route-list") || !d["route-list"].IsArray())
     return labels;
   for (const Value& route : d["route-list"].GetArray()) {
     if (route.IsObject() && route.HasMember("label") && route["label"].IsString()) {
@@ -270,7 +282,7 @@
 
 bool HasService(std::string_view text, const std::string& label) {
   Document d;
-  if (!ReadInto(text, &d)) return false;
+  if (!ReadObject(text, &d)) return false;
   auto services = d.FindMember("service-list");
   if (services == d.MemberEnd() || !services->value.IsArray()) return false;
   for (const Value& service : services->value.GetArray()) {
@@ -305,7 +317,7 @@
 std::shared_ptr<const Table> Table::Build(std::string_view text, base::Names* names,
                                           base::Names* regions) {
   Document d;
-  if (!ReadInto(text, &d)) return nullptr;
+  if (!ReadObject(text, &d)) return nullptr;
   auto table = std::make_shared<Table>();
   table->revision_ = Whole(d, "revision", 0);
   if (d.HasMember("limits") && d["limits"].IsObject()) {
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -27,8 +27,9 @@
 bool HasService(std::string_view text, const std::string& label);
 // The labels of all routes of a readable document.
 std::vector<std::string> RouteLabels(std::string_view text);
-// Checks everything but how it stands to the current one; empty reason when it is valid.
-Refusal CheckValid(std::string_view text);
+// Checks everything but how it stands to the current one; empty reason when it is valid. Then
+// `revision`, if given, is what the document names.
+Refusal CheckValid(std::string_view text, int64_t* revision = nullptr);
 // The document that a PATCH makes of `base`; both must be readable.
 struct Patched {
   std::string text;
--- a/src/configuration/register.cc
+++ b/src/configuration/register.cc
@@ -14,45 +14,52 @@
   return base::Hash(body, static_cast<uint64_t>(if_match) * 2 + (patch ? 1 : 0) + 1);
 }
 
-// The document that `change` would put in force, or why it can't.
-std::string Register::Candidate(const Change& change, Verdict* verdict) const {
-  Refusal refusal = CheckReadable(change.body);
-  if (!refusal.reason.empty()) {
+// What `change` would put in force, or why it can't.
+Register::Candidate Register::Consider(const Change& change, Verdict* verdict) const {
+  *verdict = {0, ""};
+  if (judged_ && change.if_match == revision_ && judged_->change == change) {
+    return {judged_->revision, std::nullopt, change.body};
+  }
+  if (change.patch && change.if_match == revision_) {
+    auto fold = text_.Check(change.body);
+    if (fold && fold->revision > revision_) return {fold->revision, std::move(fold), ""};
+  }
+  // From here on whatever is wrong is found in the same order, whichever way led here.
+  auto refuse = [verdict](const Refusal& refusal) {
     *verdict = {refusal.status, refusal.reason};
-    return "";
+    return Candidate();
+  };
+  if (change.patch || change.if_match != revision_) {
+    Refusal refusal = CheckReadable(change.body);
+    if (!refusal.reason.empty()) return refuse(refusal);
   }
   if (change.if_match != revision_) {
-    *verdict = {412, "version " + std::to_string(revision_) + " is current"};
-    return "";
+    return refuse({412, "version " + std::to_string(revision_) + " is current"});
   }
-  std::string text;
+  Candidate candidate;
   if (change.patch) {
-    Patched patched = ApplyPatch(text_.empty() ? kNothing : text_, change.body);
-    if (!patched.refusal.reason.empty()) {
-      *verdict = {patched.refusal.status, patched.refusal.reason};
-      return "";
-    }
-    text = std::move(patched.text);
+    Patched patched = ApplyPatch(text_.empty() ? std::string(kNothing) : text(), change.body);
+    if (!patched.refusal.reason.empty()) return refuse(patched.refusal);
+    candidate.text = std::move(patched.text);
   } else {
-    text = change.body;
+    candidate.text = change.body;
   }
-  refusal = CheckValid(text);
+  Refusal refusal = CheckValid(candidate.text, &candidate.revision);
   if (!refusal.reason.empty()) {
-    *verdict = {refusal.status, refusal.reason};
-    return "";
+    Refusal unreadable = change.patch ? Refusal() : CheckReadable(change.body);
+    return refuse(unreadable.reason.empty() ? refusal : unreadable);
   }
-  if (RevisionOf(text) <= revision_) {
-    *verdict = {400, "revision: is not above " + std::to_string(revision_)};
-    return "";
+  if (candidate.revision <= revision_) {
+    return refuse({400, "revision: is not above " + std::to_string(revision_)});
   }
-  *verdict = {0, ""};
-  return text;
+  return candidate;
 }
 
 Register::Verdict Register::Judge(const Change& change) const {
   if (std::find(taken_.begin(), taken_.end(), change.Digest()) != taken_.end()) return {200, ""};
   Verdict verdict;
-  Candidate(change, &verdict);
+  Candidate candidate = Consider(change, &verdict);
+  if (verdict.status == 0 && !change.patch) judged_ = Judged{candidate.revision, change};
   return verdict;
 }
 
@@ -60,11 +67,16 @@
   uint64_t digest = change.Digest();
   if (std::find(taken_.begin(), taken_.end(), digest) != taken_.end()) return false;
   Verdict verdict;
-  std::string text = Candidate(change, &verdict);
+  Candidate candidate = Consider(change, &verdict);
   if (verdict.status != 0) return false;
   base_ = change.patch ? revision_ : 0;
-  text_ = std::move(text);
-  revision_ = RevisionOf(text_);
+  if (candidate.fold) {
+    text_.Apply(*candidate.fold);
+  } else {
+    text_ = IndexedDocument(std::move(candidate.text));
+  }
+  revision_ = candidate.revision;
+  judged_.reset();
   newest_ = change;
   taken_.push_back(digest);
   if (taken_.size() > kTaken) taken_.erase(taken_.begin());
--- a/src/configuration/register.h
+++ b/src/configuration/register.h
@@ -3,10 +3,12 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "configuration/document.h"
+#include "configuration/indexed_document.h"
 
 namespace elderkeel::configuration {
 
@@ -17,6 +19,9 @@
   std::string body;
 
   uint64_t Digest() const;
+  bool operator==(const Change& other) const {
+    return patch == other.patch && if_match == other.if_match && body == other.body;
+  }
   template <class A>
   void serialize(A& a) {
     a(patch, if_match, body);
@@ -40,7 +45,8 @@
   int64_t revision() const { return revision_; }
   // The revision that the newest change was built on; 0 if that change was a whole configuration.
   int64_t base() const { return base_; }
-  const std::string& text() const { return text_; }
+  const std::string& text() const { return text_.text(); }
+  const IndexedDocument& document() const { return text_; }
   const Change& newest() const { return newest_; }
   bool empty() const { return text_.empty(); }
 
@@ -50,13 +56,26 @@
   }
 
  private:
-  std::string Candidate(const Change& change, Verdict* verdict) const;
+  // What a change that may be proposed would put in force: a fold of the document, or another text.
+  struct Candidate {
+    int64_t revision = 0;
+    std::optional<IndexedDocument::Fold> fold;
+    std::string text;
+  };
+  Candidate Consider(const Change& change, Verdict* verdict) const;
 
   int64_t revision_ = 0;
   int64_t base_ = 0;
-  std::string text_;
+  IndexedDocument text_;
   Change newest_;
   std::vector<uint64_t> taken_;  // digests of the last changes that took effect
+  // A whole configuration that was found good for the revision in force, and the revision it names:
+  // applying it needs no second look. Follows from the rest, so it isn't part of the state.
+  struct Judged {
+    int64_t revision = 0;
+    Change change;
+  };
+  mutable std::optional<Judged> judged_;
 };
 
 }  // namespace elderkeel::configuration
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -453,7 +453,7 @@
 }
 
 bool Controller::HasService(const std::string& service) const {
-  return configuration::HasService(state_.configuration.text(), service);
+  return state_.configuration.document().HasService(service);
 }
 
 std::optional<uint64_t> Controller::Propose(const rollout::Order& order) {
@@ -503,7 +503,7 @@
   if (state_.rollouts.Active()) steps = conductor_.Review(now, state_.rollouts, Watchers());
   for (rollout::Step& step : steps) {
     // Watchers know routes by their keys alone; who reads the reason knows them by their labels.
-    for (const std::string& label : configuration::RouteLabels(state_.configuration.text())) {
+    for (const std::string& label : state_.configuration.document().RouteLabels()) {
       std::string key = "route " + std::to_string(rollout::RouteKey(label)) + ":";
       size_t at = step.reason.find(key);
       if (at != std::string::npos) step.reason.replace(at, key.size(), "route " + label + ":");
@@ -755,7 +755,7 @@
     return at == fleet_->members().nodes().end() ? "unknown" : at->second.address().ToString();
   };
   std::map<uint32_t, std::string> labels;
-  for (const std::string& label : configuration::RouteLabels(state_.configuration.text())) {
+  for (const std::string& label : state_.configuration.document().RouteLabels()) {
     labels[rollout::RouteKey(label)] = label;
   }
   auto counts = [&](const char* key, const rollout::Counts& c) {
--- a/src/news/exchange.cc
+++ b/src/news/exchange.cc
@@ -136,7 +136,7 @@
 bool Exchange::SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked) {
   if (revision_ == 0) return true;
   bool patch = !patch_.empty() && peer_has == patch_base_;
-  const std::string& body = patch ? patch_ : text_;
+  const std::string& body = patch ? patch_ : document_.text();
   if (body.size() > kSmall) {
     if (!asked) return false;
     if (SentLately(now, to, static_cast<uint64_t>(revision_) * 2)) return true;
@@ -256,20 +256,15 @@
   heard_at_ = now;
   if (news.revision <= revision_) return;
   if (news.base != 0) {
-    if (news.base != revision_ || text_.empty()) {
+    // What a controller applied was checked there; it is checked no second time.
+    if (news.base != revision_ || document_.empty() || !document_.Patch(news.body).empty()) {
       AskFor(now, from, true);
       return;
     }
-    configuration::Patched patched = configuration::ApplyPatch(text_, news.body);
-    if (!patched.refusal.reason.empty()) {
-      AskFor(now, from, true);
-      return;
-    }
-    text_ = std::move(patched.text);
     patch_base_ = revision_;
     patch_ = news.body;
   } else {
-    text_ = news.body;
+    document_ = configuration::IndexedDocument(news.body);
     patch_base_ = 0;
     patch_.clear();
   }
@@ -281,8 +276,12 @@
 void Exchange::Commit(base::Millis now, const configuration::Register& state) {
   if (state.revision() <= revision_) return;
   bool patch = state.base() != 0 && state.newest().patch;
+  // Its own document follows the patch as a proxy's does: taking the other one's text would cost as
+  // much as the text is long.
+  bool follows = patch && state.base() == revision_ && !document_.empty() &&
+                 document_.Patch(state.newest().body).empty();
+  if (!follows) document_ = state.document();
   revision_ = state.revision();
-  text_ = state.text();
   patch_base_ = patch ? state.base() : 0;
   patch_ = patch ? state.newest().body : "";
   out_.config_adopted = true;
--- a/src/news/exchange.h
+++ b/src/news/exchange.h
@@ -164,7 +164,10 @@
   Digest OwnDigest(base::Millis now) const;
 
   int64_t revision() const { return revision_; }
-  const std::string& config_text() const { return text_; }
+  const std::string& config_text() const { return document_.text(); }
+  // The patch that led to this configuration, and from which revision; empty if it came whole.
+  const std::string& config_patch() const { return patch_; }
+  int64_t config_base() const { return patch_base_; }
   const catalog::Catalog& catalog() const { return catalog_; }
   const evacuation::Orders& orders() const { return orders_; }
   const rollout::Rollouts& rollouts() const { return rollouts_; }
@@ -199,7 +202,7 @@
   const ring::Membership* members_;
   base::Random random_;
   int64_t revision_ = 0;
-  std::string text_;
+  configuration::IndexedDocument document_;
   int64_t patch_base_ = 0;
   std::string patch_;  // leads from patch_base_ to revision_; empty if there is none
   catalog::Catalog catalog_;
--- a/tests/change_cost.cc
+++ b/tests/change_cost.cc
@@ -144,11 +144,10 @@
   Expect(leader->text() == adopts->config_text(), "leader and proxy hold different documents");
   for (int i = 0; i < std::max(3, repeats / 4); ++i) {
     bool has = false;
-    times.Add("HasService",
-              [&] { has = configuration::HasService(leader->text(), "s" + std::to_string(i)); });
+    times.Add("HasService", [&] { has = leader->document().HasService("s" + std::to_string(i)); });
     Expect(has, "a service is missing");
     size_t labels = 0;
-    times.Add("RouteLabels", [&] { labels = configuration::RouteLabels(leader->text()).size(); });
+    times.Add("RouteLabels", [&] { labels = leader->document().RouteLabels().size(); });
     Expect(labels == static_cast<size_t>(routes), "a label is missing");
     change("patch", true);
     size_t bytes = 0;
