A controller with a data folder has no part in the log without a store there

Cause: a controller whose store couldn't be opened went on with one in memory under a random id, asked to join, and became a voter whose copy does not last. Everything that couldn't be opened, locked or unreachable stores too, was moved aside. A machine built anew after a refused write had forgotten where its members stand.

Change: Replica has no machine until a store in the data folder was opened, at the start as after a refused write; it tries every 500 ms. Only what is damaged (corrupt, a gap, a record that can't be read) is moved aside, synced, and the member comes back under a new identity. The state of the store is an event (store.unopened, store.refused, store.unreadable, store.opened; once for each reason, the numbers of LevelDB's files left out) and is shown by `controller status`, which now answers without a machine. Callers are sent on to a controller with a disk, or get 503. Zones are noted in the replica and told to each machine. The ring's flag `durable` stays what the settings say, since all founders must come to the same list.

Test: Programs.AControllerWhoseStoreCannotBeOpenedHasNoPartUntilItCan (a file stands where the data folder is to be) and StoreTest.MovesAsideOnlyWhatIsDamaged.

Seen to fail: with a store in memory instead (as before) that controller had a part at once and led the log in that run; status, 307, events and the console's line failed with it. The test of moving aside was not run on broken code.

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -12,6 +12,18 @@
 constexpr base::Millis kReopenMs = 500;
 }  // namespace
 
+const char* StoreStateName(Replica::StoreState state) {
+  switch (state) {
+    case Replica::StoreState::kUnopened:
+      return "unopened";
+    case Replica::StoreState::kMemory:
+      return "memory";
+    case Replica::StoreState::kDisk:
+      return "disk";
+  }
+  return "unknown";
+}
+
 Replica::Replica(base::Loop* loop, Hooks hooks) : loop_(loop), hooks_(std::move(hooks)) {}
 
 bool Replica::HasStore(const std::string& data_dir) {
@@ -20,54 +32,69 @@
 }
 
 void Replica::Start() {
-  Open(true);
+  begun_ = true;
+  Open();
   tick_.Repeat(loop_, kTickMs, [this] {
-    machine_->Tick(base::SteadyMillis());
+    if (machine_) machine_->Tick(base::SteadyMillis());
     Pump();
   });
 }
 
-void Replica::Open(bool first) {
-  std::unique_ptr<Store> store;
-  Restored restored;
-  if (options_.data_dir.empty()) {
-    store = MakeMemoryStore();
-  } else {
-    std::string directory = options_.data_dir + "/log";
+void Replica::NoteZone(const std::string& ip, const std::string& zone) {
+  zones_[ip] = zone;
+  if (machine_) machine_->NoteZone(ip, zone);
+}
+
+// A store that can be written, and what it held.
+base::Result<std::unique_ptr<Store>> Replica::OpenStore(Restored* restored) {
+  if (options_.data_dir.empty()) return MakeMemoryStore();
+  std::string directory = options_.data_dir + "/log";
+  auto open = [&]() -> base::Result<std::unique_ptr<Store>> {
     auto opened = OpenDiskStore(directory);
-    if (opened) {
-      auto loaded = (*opened)->Load();
-      if (loaded) {
-        restored = std::move(*loaded);
-        store = std::move(*opened);
-      } else {
-        base::Warn("store.unreadable", loaded.error());
-      }
-    } else {
-      base::Warn("store.unopened", opened.error());
-    }
-    if (!store && !first) {
-      reopen_.Start(loop_, kReopenMs, [this] { Reopen(); });
-      return;
-    }
-    if (!store) {
-      // What can't be read is moved aside. This member comes back under a new identity, as after a
-      // lost disk: its old votes can't be given twice.
-      std::error_code ignored;
-      std::filesystem::remove_all(directory + ".unreadable", ignored);
-      std::filesystem::rename(directory, directory + ".unreadable", ignored);
-      options_.bootstrap = false;
-      auto fresh = OpenDiskStore(directory);
-      if (fresh) {
-        store = std::move(*fresh);
-      } else {
-        base::Warn("store.refused", fresh.error());
-        reopen_.Start(loop_, kReopenMs, [this] { Reopen(); });
-        store = MakeMemoryStore();
-        options_.founders.clear();
-      }
-    }
+    if (!opened) return opened;
+    auto loaded = (*opened)->Load();
+    if (!loaded) return loaded.error();
+    *restored = std::move(*loaded);
+    return opened;
+  };
+  auto opened = open();
+  if (opened || !Unreadable(opened.error())) return opened;
+  // This member comes back under a new identity, as after a lost disk: its old votes can't be given
+  // twice.
+  base::Warn("store.unreadable", opened.error());
+  hooks_.store_changed("store.unreadable", opened.error().reason);
+  auto moved = MoveAside(directory);
+  if (!moved) return moved.error();
+  options_.bootstrap = false;
+  return open();
+}
+
+void Replica::CloseStore(const std::string& event, const std::string& reason) {
+  ++opening_;
+  thread_.reset();
+  store_state_ = StoreState::kUnopened;
+  // The numbers of LevelDB's files change with each opening.
+  auto plain = [](std::string text) {
+    text.erase(
+        std::remove_if(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; }),
+        text.end());
+    return text;
+  };
+  if (plain(reason) != plain(store_reason_)) {
+    base::Warn(event, {{"reason", reason}});
+    hooks_.store_changed(event, reason);
   }
+  store_reason_ = reason;
+  reopen_.Start(loop_, kReopenMs, [this] { Open(); });
+}
+
+void Replica::Open() {
+  Restored restored;
+  auto opened = OpenStore(&restored);
+  if (!opened) return CloseStore("store.unopened", opened.error().reason);
+  store_state_ = options_.data_dir.empty() ? StoreState::kMemory : StoreState::kDisk;
+  if (!store_reason_.empty()) hooks_.store_changed("store.opened", "");
+  store_reason_.clear();
   bool founder = options_.bootstrap && restored.empty &&
                  std::any_of(options_.founders.begin(), options_.founders.end(),
                              [&](const Member& m) { return m.id == options_.self.id; });
@@ -86,15 +113,16 @@
   bool empty = restored.empty;
   machine_ =
       std::make_unique<Machine>(std::move(machine), std::move(restored), base::SteadyMillis());
+  for (const auto& [ip, zone] : zones_) machine_->NoteZone(ip, zone);
   uint64_t opening = ++opening_;
   thread_ = std::make_unique<StoreThread>(
-      std::move(store), [this, opening](uint64_t sequence, base::Result<bool> result) {
+      std::move(*opened), [this, opening](uint64_t sequence, base::Result<bool> result) {
         loop_->Post([this, opening, sequence, result] {
           if (opening != opening_) return;
-          if (!result) base::Warn("store.failed", result.error());
           machine_->Persisted(base::SteadyMillis(), sequence, result.ok());
           Pump();
-          if (!result) reopen_.Start(loop_, kReopenMs, [this] { Reopen(); });
+          // Nothing of this opening may be trusted: what the disk holds is read anew.
+          if (!result) CloseStore("store.refused", result.error().reason);
         });
       });
   base::Info("log.opened", {{"member", machine_->self().id},
@@ -106,13 +134,6 @@
   Pump();
 }
 
-// After a refused write nothing of this opening may be trusted: what the disk holds is read anew.
-void Replica::Reopen() {
-  ++opening_;
-  thread_.reset();
-  Open(false);
-}
-
 void Replica::Pump() {
   if (pumping_ || !machine_) return;  // hooks may call in; the outer loop takes what they caused
   pumping_ = true;
@@ -122,7 +143,9 @@
                !effects.installed.empty() || !effects.reads_ready.empty() ||
                !effects.reads_failed.empty() || effects.role_changed;
     if (!any) break;
-    for (Persist& write : effects.writes) thread_->Write(std::move(write));
+    for (Persist& write : effects.writes) {
+      if (thread_) thread_->Write(std::move(write));
+    }
     for (const auto& out : effects.messages) hooks_.send(out.to, out.message);
     for (const Snapshot& snapshot : effects.installed) hooks_.install(snapshot);
     for (const Entry& entry : effects.committed) {
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -31,30 +32,40 @@
     std::function<std::string()> snapshot_state;
     std::function<void(uint64_t token, bool confirmed)> read_done;
     std::function<void()> role_changed;
+    // The state of the store changed, or why it is so.
+    std::function<void(const std::string& event, const std::string& reason)> store_changed;
   };
+  // Of the store. A member whose store is not open has no part in the log: it neither votes nor
+  // acknowledges, and opens the store again every now and then.
+  enum class StoreState { kUnopened, kMemory, kDisk };
 
   Replica(base::Loop* loop, Hooks hooks);
   void SetOptions(Options options) { options_ = std::move(options); }
 
   // Whether a store was ever begun there.
   static bool HasStore(const std::string& data_dir);
-  // Opens the store and begins; hooks are called from here on, not before.
+  // Opens the store and begins; hooks are called from here on, not before. With a data folder there
+  // is no machine until a store in it was opened.
   void Start();
+  bool begun() const { return begun_; }
+  StoreState store_state() const { return store_state_; }
+  const std::string& store_reason() const { return store_reason_; }  // empty if it is open
 
   void Receive(const Message& message, const base::Address& from);
   std::optional<Index> Propose(std::string command);
   bool Read(uint64_t token);
   void Join(const Member& member);
   void TransferLeadership();
-  void NoteZone(const std::string& ip, const std::string& zone) { machine_->NoteZone(ip, zone); }
+  void NoteZone(const std::string& ip, const std::string& zone);
   bool started() const { return machine_ != nullptr; }
   const Machine& machine() const { return *machine_; }
   Member self() const { return machine_->self(); }
 
  private:
-  void Open(bool first);
+  void Open();
+  base::Result<std::unique_ptr<Store>> OpenStore(Restored* restored);
+  void CloseStore(const std::string& event, const std::string& reason);
   void Pump();
-  void Reopen();
 
   base::Loop* loop_;
   Options options_;
@@ -63,8 +74,14 @@
   std::unique_ptr<Machine> machine_;
   base::Timer tick_;
   base::Timer reopen_;
+  std::map<std::string, std::string> zones_;  // by ip
+  StoreState store_state_ = StoreState::kUnopened;
+  std::string store_reason_;
+  bool begun_ = false;
   uint64_t opening_ = 0;  // tells finished writes of an earlier opening apart
   bool pumping_ = false;
 };
 
+const char* StoreStateName(Replica::StoreState state);
+
 }  // namespace elderkeel::consensus
--- a/src/consensus/store.cc
+++ b/src/consensus/store.cc
@@ -82,6 +82,8 @@
 // kept is copied then.
 constexpr uint64_t kReclaimBytes = 4 << 20;
 
+constexpr char kUnreadable[] = "store.load";
+
 // LevelDB's own notes would grow for as long as the process runs.
 class NoLogger : public leveldb::Logger {
   void Logv(const char*, std::va_list) override {}
@@ -118,7 +120,7 @@
     options.block_cache = cache_.get();
     leveldb::DB* db = nullptr;
     status = leveldb::DB::Open(options, directory_, &db);
-    if (!status.ok()) return base::Error{"store.open", "", status.ToString()};
+    if (!status.ok()) return Failed("store.open", status);
     db_.reset(db);
     written_ = Kept();  // some of it may have been dropped in an earlier life
     return true;
@@ -131,18 +133,18 @@
     std::string value;
     leveldb::Status status = db_->Get(options, "hard", &value);
     if (status.IsNotFound()) return restored;
-    if (!status.ok()) return base::Error{"store.load", "", status.ToString()};
+    if (!status.ok()) return Failed("store.open", status);
     auto hard = wire::Decode<HardState>(value);
-    if (!hard) return base::Error{"store.load", "", "the vote can't be read"};
+    if (!hard) return base::Error{kUnreadable, "", "the vote can't be read"};
     restored.empty = false;
     restored.hard = *hard;
     status = db_->Get(options, "snapshot", &value);
     if (status.ok()) {
       auto snapshot = wire::Decode<Snapshot>(value);
-      if (!snapshot) return base::Error{"store.load", "", "the snapshot can't be read"};
+      if (!snapshot) return base::Error{kUnreadable, "", "the snapshot can't be read"};
       restored.snapshot = *snapshot;
     } else if (!status.IsNotFound()) {
-      return base::Error{"store.load", "", status.ToString()};
+      return Failed("store.open", status);
     }
     if (db_->Get(options, "commit", &value).ok()) {
       if (auto commit = wire::Decode<Index>(value)) restored.commit = *commit;
@@ -150,15 +152,15 @@
     std::unique_ptr<leveldb::Iterator> at(db_->NewIterator(options));
     for (at->Seek("e"); at->Valid() && at->key().starts_with("e"); at->Next()) {
       auto entry = wire::Decode<Entry>(std::string_view(at->value().data(), at->value().size()));
-      if (!entry) return base::Error{"store.load", "", "an entry can't be read"};
+      if (!entry) return base::Error{kUnreadable, "", "an entry can't be read"};
       if (!restored.entries.empty() && entry->index != restored.entries.back().index + 1) {
-        return base::Error{"store.load", "", "the log has a gap"};
+        return base::Error{kUnreadable, "", "the log has a gap"};
       }
       restored.entries.push_back(std::move(*entry));
     }
-    if (!at->status().ok()) return base::Error{"store.load", "", at->status().ToString()};
+    if (!at->status().ok()) return Failed("store.open", at->status());
     if (!restored.entries.empty() && restored.entries.front().index > restored.snapshot.index + 1) {
-      return base::Error{"store.load", "", "the log begins after its snapshot"};
+      return base::Error{kUnreadable, "", "the log begins after its snapshot"};
     }
     return restored;
   }
@@ -175,7 +177,7 @@
     options.sync = write.hard_changed || !write.snapshot.empty() || !write.entries.empty() ||
                    write.truncate_from > 0;
     leveldb::Status status = db_->Write(options, &batch);
-    if (!status.ok()) return base::Error{"store.write", "", status.ToString()};
+    if (!status.ok()) return Failed("store.write", status);
     written_ += batch.ApproximateSize();
     return true;
   }
@@ -193,6 +195,9 @@
   }
 
  private:
+  static base::Error Failed(const char* step, const leveldb::Status& status) {
+    return {status.IsCorruption() ? kUnreadable : step, "", status.ToString()};
+  }
   // Bytes in tables.
   uint64_t Kept() {
     leveldb::Range all("", "z");
@@ -241,6 +246,19 @@
   return std::unique_ptr<Store>(std::move(store));
 }
 
+bool Unreadable(const base::Error& error) { return error.step == kUnreadable; }
+
+base::Result<bool> MoveAside(const std::string& directory, const FileSystem& files) {
+  std::string aside = directory + ".unreadable";
+  std::error_code error;
+  std::filesystem::remove_all(aside, error);
+  if (!error) std::filesystem::rename(directory, aside, error);
+  if (error) return base::Error{"store.aside", "", error.message()};
+  leveldb::Status status = files.sync_folder(Parent(directory));
+  if (!status.ok()) return base::Error{"store.aside", "", status.ToString()};
+  return true;
+}
+
 std::unique_ptr<Store> MakeMemoryStore() { return std::make_unique<MemoryStore>(); }
 
 StoreThread::StoreThread(std::unique_ptr<Store> store, Done done)
--- a/src/consensus/store.h
+++ b/src/consensus/store.h
@@ -19,7 +19,8 @@
  public:
   virtual ~Store() = default;
   virtual base::Result<Restored> Load() = 0;
-  // On disk, synced, when it returns true.
+  // On disk, synced, when it returns true. After an error every later write is refused too: the
+  // store must be opened anew.
   virtual base::Result<bool> Write(const Persist& write) = 0;
   // Gives back the room of what was dropped, if enough was written since; called between writes.
   virtual void Reclaim() {}
@@ -39,6 +40,13 @@
 // the old one then never votes again.
 base::Result<std::unique_ptr<Store>> OpenDiskStore(const std::string& directory,
                                                    const FileSystem& files = RealFileSystem());
+// Whether a store, or what Load found in it, is damaged for good. Such a store is no store: the
+// caller moves it aside and begins anew with another identity, which is safe since the old one then
+// never votes again.
+bool Unreadable(const base::Error& error);
+// Renames the folder of a store to `directory`.unreadable; one that is there gives way.
+base::Result<bool> MoveAside(const std::string& directory,
+                             const FileSystem& files = RealFileSystem());
 // For machines without a disk: everything goes with the process.
 std::unique_ptr<Store> MakeMemoryStore();
 
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -24,8 +24,10 @@
 constexpr base::Millis kVersionsEveryMs = 500;
 constexpr size_t kMaxControlBody = 16u << 20;
 
+}  // namespace
+
 // A JSON document as it is written.
-struct JsonText {
+struct Controller::JsonText {
   using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
   rapidjson::StringBuffer buffer;
   Writer writer{buffer};
@@ -41,6 +43,8 @@
   std::string Take() const { return {buffer.GetString(), buffer.GetSize()}; }
 };
 
+namespace {
+
 consensus::MemberId FounderId(const base::Address& address) {
   return base::Hash(address.ToString(), 7) | 1;
 }
@@ -93,7 +97,7 @@
 // power forgets is no vote. All seeds are up at the first start, and whether a machine has a disk
 // does not change, so every founder comes to the same list. Any other process joins.
 bool Controller::Begin() {
-  if (replica_->started()) return true;
+  if (replica_->begun()) return true;
   bool seed = std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.control) !=
               settings_.seeds.end();
   if (settings_.bootstrap && seed && !consensus::Replica::HasStore(settings_.data_dir)) {
@@ -159,7 +163,7 @@
     OnMessage(from, kind, payload);
   };
   hooks.node_changed = [this](const ring::Node& node) {
-    if (replica_ && replica_->started()) replica_->NoteZone(node.ip, node.zone);
+    if (replica_) replica_->NoteZone(node.ip, node.zone);
     Note("node." + std::string(ring::StateName(node.state)), node.address().ToString());
   };
   fleet_ = std::make_unique<news::Fleet>(loop_, settings_, ring::Program::kController, hooks);
@@ -191,6 +195,9 @@
   log.snapshot_state = [this] { return wire::Encode(state_); };
   log.read_done = [this](uint64_t token, bool ok) { ReadDone(token, ok); };
   log.role_changed = [this] { RoleChanged(); };
+  log.store_changed = [this](const std::string& event, const std::string& reason) {
+    Note(event, reason);
+  };
   operator_ = std::make_unique<configuration::OperatorApi>(
       this, &state_.configuration, &state_.orders, &state_.rollouts,
       [this](uint64_t ticket, const wire::Message& answer) { control_->Answer(ticket, answer); });
@@ -264,7 +271,7 @@
 void Controller::OnRequest(wire::HttpServer::Ticket ticket, wire::Message&& request) {
   base::Millis now = base::SteadyMillis();
   if (configuration::OperatorApi::Owns(request.Path())) {
-    if (Idle()) {
+    if (Idle() || !replica_->store_reason().empty()) {
       SendOn(ticket, request.target);
       return;
     }
@@ -297,7 +304,7 @@
 
 void Controller::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
   base::Millis now = base::SteadyMillis();
-  if (!replica_->started()) return;
+  if (!replica_->started() && kind != wire::Kind::kQueryReply) return;
   switch (kind) {
     case wire::Kind::kConsensus:
       if (auto m = wire::Decode<consensus::Message>(payload)) replica_->Receive(*m, from);
@@ -440,9 +447,9 @@
 
 void Controller::Tick() {
   base::Millis now = base::SteadyMillis();
+  FinishInquiries(now);
   if (!replica_->started()) return;
   operator_->Tick(now);
-  FinishInquiries(now);
   SeekMembership(now);
   if (leading() && !leaving_) {
     ReviewDuty(now);
@@ -549,6 +556,7 @@
 // A controller that no leader speaks to asks to be taken in, wherever it can.
 void Controller::SeekMembership(base::Millis now) {
   if (leaving_ || leading() || now < join_at_ || Idle()) return;
+  if (!replica_->store_reason().empty()) return;
   if (HearsLeader(now)) return;
   join_at_ = now + kJoinEveryMs;
   for (const base::Address& address : fleet_->Controllers()) {
@@ -670,7 +678,7 @@
 }
 
 void Controller::Ask(wire::HttpServer::Ticket ticket, const diagnosis::Question& question) {
-  if (!replica_->started()) {
+  if (!replica_->begun()) {
     control_->Answer(ticket, wire::OwnAnswer(503, "this controller has only just started"));
     return;
   }
@@ -724,7 +732,7 @@
     control_->Answer(ticket, wire::OwnAnswer(405, "GET only"));
     return;
   }
-  if (Idle()) return SendOn(ticket, request.target);
+  if (Idle() || !replica_->store_reason().empty()) return SendOn(ticket, request.target);
   auto leader = replica_->started() ? leader_control() : std::nullopt;
   if (!leading() && leader && HearsLeader(base::SteadyMillis())) {
     wire::Message answer = wire::OwnAnswer(307, "the leader is elsewhere");
@@ -838,15 +846,13 @@
   return json.Take();
 }
 
-std::string Controller::StatusJson(const diagnosis::Inquiry& nodes) const {
+// What the log's machine knows.
+void Controller::WriteLog(JsonText* json) const {
   base::Millis now = base::SteadyMillis();
   const consensus::Machine& m = replica_->machine();
-  JsonText json;
-  JsonText::Writer& w = json.writer;
-  auto text = [&](const char* key, const std::string& value) { json.Text(key, value); };
-  auto number = [&](const char* key, int64_t value) { json.Number(key, value); };
-  w.StartObject();
-  text("node", settings_.node_name);
+  JsonText::Writer& w = json->writer;
+  auto text = [&](const char* key, const std::string& value) { json->Text(key, value); };
+  auto number = [&](const char* key, int64_t value) { json->Number(key, value); };
   text("role", consensus::RoleName(m.role()));
   number("term", static_cast<int64_t>(m.term()));
   number("commit", static_cast<int64_t>(m.commit()));
@@ -871,6 +877,22 @@
     w.EndObject();
   }
   w.EndArray();
+}
+
+std::string Controller::StatusJson(const diagnosis::Inquiry& nodes) const {
+  base::Millis now = base::SteadyMillis();
+  JsonText json;
+  JsonText::Writer& w = json.writer;
+  auto text = [&](const char* key, const std::string& value) { json.Text(key, value); };
+  auto number = [&](const char* key, int64_t value) { json.Number(key, value); };
+  w.StartObject();
+  text("node", settings_.node_name);
+  w.Key("store");
+  w.StartObject();
+  text("state", consensus::StoreStateName(replica_->store_state()));
+  text("reason", replica_->store_reason());
+  w.EndObject();
+  if (replica_->started()) WriteLog(&json);
   number("revision", state_.configuration.revision());
   w.Key("evacuation");
   w.StartObject();
@@ -896,7 +918,9 @@
   number("epoch", static_cast<int64_t>(state_.duty.epoch));
   w.Key("holder");
   std::string holder;
-  for (const consensus::Member& v : m.voters()) {
+  std::vector<consensus::Member> voters;
+  if (replica_->started()) voters = replica_->machine().voters();
+  for (const consensus::Member& v : voters) {
     if (v.id == state_.duty.holder) holder = v.address().ToString();
   }
   if (holder.empty()) {
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -86,6 +86,8 @@
   void Diagnose(wire::HttpServer::Ticket ticket, const base::Result<diagnosis::Question>& question);
   void FinishInquiries(base::Millis now);
   void Ask(wire::HttpServer::Ticket ticket, const diagnosis::Question& question);
+  struct JsonText;
+  void WriteLog(JsonText* json) const;
   std::string StatusJson(const diagnosis::Inquiry& nodes) const;
   // What is known of the roll-outs, or of one service's; empty if that has none.
   std::string RolloutsJson(std::string_view service) const;
--- a/src/diagnosis/console.cc
+++ b/src/diagnosis/console.cc
@@ -86,6 +86,10 @@
   *degraded = !settled;
   line("asked       " + Text(d, "node") + " (" + Text(d, "role") + ", term " + Text(d, "term") +
        ")");
+  if (d.HasMember("store") && d["store"].IsObject()) {
+    std::string reason = Text(d["store"], "reason", "");
+    line("store       " + Text(d["store"], "state") + (reason.empty() ? "" : ": " + reason));
+  }
   line("leader      " + Text(d, "leader") + (settled ? "" : "   no majority is heard"));
   if (!settled) line("unknown     " + Text(d, "unknown", "whether anything below is the newest"));
   line("revision    " + Text(d, "revision"));
--- a/tests/consensus_store_test.cc
+++ b/tests/consensus_store_test.cc
@@ -83,6 +83,27 @@
   EXPECT_FALSE(OpenDiskStore(path_.string()).ok());
 }
 
+TEST_F(StoreTest, MovesAsideOnlyWhatIsDamaged) {
+  Persist write;
+  write.hard_changed = true;
+  write.hard = {1, 2, 3, 4};
+  Write(write);
+  auto first = OpenDiskStore(path_.string());
+  ASSERT_TRUE(first.ok());
+  auto second = OpenDiskStore(path_.string());  // the first one's lock will go
+  ASSERT_FALSE(second.ok());
+  EXPECT_FALSE(Unreadable(second.error()));
+  first->reset();
+  std::ofstream(path_ / "CURRENT") << "nonsense";
+  auto damaged = OpenDiskStore(path_.string());
+  ASSERT_FALSE(damaged.ok());
+  EXPECT_TRUE(Unreadable(damaged.error()));
+  ASSERT_TRUE(MoveAside(path_.string()).ok());
+  EXPECT_TRUE(std::filesystem::exists(path_.string() + ".unreadable/CURRENT"));
+  EXPECT_TRUE(Reload().empty);
+  std::filesystem::remove_all(path_.string() + ".unreadable");
+}
+
 TEST_F(StoreTest, WritesInOrderOnItsOwnThread) {
   auto store = OpenDiskStore(path_.string());
   ASSERT_TRUE(store.ok());
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -268,6 +268,41 @@
   EXPECT_EQ(Ask(0, "/c/x"), 200);
 }
 
+// A controller that has a data folder and can't open its store there has no part in the log until
+// it can. It says so, and sends callers on.
+TEST_F(Programs, AControllerWhoseStoreCannotBeOpenedHasNoPartUntilItCan) {
+  std::ofstream(dir_ / "data-c2") << "a file where the folder is to be";
+  for (int i = 0; i < kControllers; ++i) Start("controller", "c" + std::to_string(i), i, true);
+  ASSERT_EQ(Operate("PUT", 0, Document(3, "/a/")).status, 200);
+  auto status = [&](int i) { return Call(Control(i), "GET", "/elderkeel/status").body; };
+  auto count = [](const std::string& text, const std::string& what) {
+    size_t times = 0;
+    for (size_t at = text.find(what); at != std::string::npos; at = text.find(what, at + 1)) {
+      ++times;
+    }
+    return times;
+  };
+  EXPECT_TRUE(Eventually([&] { return count(status(2), R"("store":{"state":"unopened")") == 1; }))
+      << status(2);
+  EXPECT_EQ(Call(Control(2), "GET", "/elderkeel/config", "", "", 0).status, 307);
+  std::string text;
+  EXPECT_EQ(Verb({"controller", "status", "--control", Control(2).ToString()}, &text), 1);
+  EXPECT_NE(text.find("store       unopened: "), std::string::npos) << text;
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));  // some more tries
+  std::string log = *base::ReadFile((dir_ / "c2.log").string());
+  EXPECT_EQ(count(log, "event=store.unopened"), 1u) << log;
+  EXPECT_EQ(count(log, "event=log.opened"), 0u) << log;
+  EXPECT_EQ(count(status(2), "store.unopened"), 1u);
+
+  std::filesystem::remove(dir_ / "data-c2");
+  EXPECT_TRUE(Eventually([&] {
+    std::string now = status(2);
+    return count(now, R"("store":{"state":"disk","reason":"")") == 1 &&
+           count(now, R"("settled":true)") == 1;
+  })) << status(2);
+  EXPECT_EQ(count(status(2), "store.opened"), 1u);
+}
+
 TEST_F(Programs, AnOrdinaryCommandLine) {
   std::string text;
   EXPECT_EQ(Verb({"proxy", "--help"}, &text), 0);
