Store: after a refused write nothing more is taken until it was opened anew

Cause: the store's thread went on with the writes queued behind a refused one. What builds on it could then be on disk without it (a gap in the log, and with it the member's identity), and LevelDB writes on behind a record that is only partly there and would not find what follows. On a disk that is full a store that opens may still refuse the next write, over and over.

Change: a DiskStore that refused a write refuses all later ones; Replica lets a store that was opened write the hard state it read before the member has a part again.

Seen to fail: without the latch the write after the refused one was taken. The probe at the opening has no test of its own.

Measured for the disk in memory only; a controller on a full file system was not run.

--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -54,6 +54,14 @@
     if (!opened) return opened;
     auto loaded = (*opened)->Load();
     if (!loaded) return loaded.error();
+    // The disk may be full still: it must take something before this member has a part again.
+    Persist again;
+    again.hard_changed = true;
+    again.hard = loaded->hard;
+    if (!loaded->empty) {
+      auto written = (*opened)->Write(again);
+      if (!written) return written.error();
+    }
     *restored = std::move(*loaded);
     return opened;
   };
--- a/src/consensus/store.cc
+++ b/src/consensus/store.cc
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
+#include <optional>
 
 #include "wire/frame.h"
 
@@ -166,6 +167,8 @@
   }
 
   base::Result<bool> Write(const Persist& write) override {
+    // LevelDB may go on behind a record that is only partly there, and would not find what follows.
+    if (refused_) return *refused_;
     leveldb::WriteBatch batch;
     if (write.hard_changed) batch.Put("hard", wire::Encode(write.hard));
     if (!write.snapshot.empty()) batch.Put("snapshot", wire::Encode(write.snapshot[0]));
@@ -177,7 +180,10 @@
     options.sync = write.hard_changed || !write.snapshot.empty() || !write.entries.empty() ||
                    write.truncate_from > 0;
     leveldb::Status status = db_->Write(options, &batch);
-    if (!status.ok()) return Failed("store.write", status);
+    if (!status.ok()) {
+      refused_ = Failed("store.write", status);
+      return *refused_;
+    }
     written_ += batch.ApproximateSize();
     return true;
   }
@@ -218,6 +224,7 @@
   FileSystem files_;
   SyncedEnv env_;
   NoLogger logger_;
+  std::optional<base::Error> refused_;
   uint64_t written_ = 0;           // bytes since room was given back
   std::atomic<uint64_t> kept_{0};  // bytes that were left then
   std::unique_ptr<leveldb::Cache> cache_;
--- a/tests/store_power_test.cc
+++ b/tests/store_power_test.cc
@@ -226,6 +226,50 @@
 
 TEST_F(StorePowerTest, WhatWasAcknowledgedOutlivesALossOfPowerAtAnyPoint) { Play(4, 24); }
 
+// A disk that is full refuses; nothing that was acknowledged goes, and nothing is partly there.
+TEST_F(StorePowerTest, AFullDiskRefusesAndTearsNothing) {
+  size_t refusals = 0, openings_refused = 0;
+  for (uint64_t seed = 0; seed < 24; ++seed) {
+    base::Random random(seed);
+    PowerEnv env;
+    Restored state, next;
+    auto store = OpenDiskStore(kDirectory, env.files());
+    ASSERT_TRUE(store.ok());
+    Writes writes(seed);
+    env.SetCapacity(2000 + random.Below(1'800'000));
+    bool refused = false;
+    for (int i = 0; i < 400 && !refused; ++i) {
+      Persist write = writes.Next(state);
+      next = state;
+      Apply(write, &next);
+      refused = !(*store)->Write(write).ok();
+      if (!refused) state = next;
+    }
+    if (!refused) continue;
+    ++refusals;
+    // Whatever comes after the refused write may not be taken: it builds on it.
+    env.SetCapacity(SIZE_MAX);
+    Persist after;
+    after.hard_changed = true;
+    EXPECT_FALSE((*store)->Write(after).ok());
+    store->reset();
+    for (int tries = 0; tries < 3; ++tries) {
+      env.SetCapacity(env.disk().used() + random.Below(3000));
+      auto again = OpenDiskStore(kDirectory, env.files());
+      if (!again) {
+        ++openings_refused;
+        EXPECT_FALSE(Unreadable(again.error())) << again.error().reason;
+      }
+    }
+    env.SetCapacity(SIZE_MAX);
+    Check(env.disk(), state, &next, seed);
+    Check(env.disk().AfterLoss([&](uint64_t n) { return random.Below(n); }), state, &next, seed);
+    if (HasFatalFailure()) return;
+  }
+  EXPECT_GT(refusals, 12u);
+  EXPECT_GT(openings_refused, 12u);
+}
+
 // LevelDB refuses a manifest with a hole. That is the end of this copy, but it is told.
 TEST_F(StorePowerTest, TailsWrittenOutOfOrderAreNeverTakenForWhole) {
   holes_ = true;
