--- a/tests/consensus_store_test.cc
+++ b/tests/consensus_store_test.cc
@@ -1,8 +1,14 @@
 #include <gtest/gtest.h>
+#include <leveldb/db.h>
+#include <leveldb/write_batch.h>
 
 #include <atomic>
+#include <cereal/archives/binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "base/random.h"
@@ -126,6 +132,109 @@
   EXPECT_EQ(Reload().entries.size(), 20u);
 }
 
+// The records as version 0.1.0 wrote them, on their own so that a change of the types shows here.
+namespace version_0_1_0 {
+struct Member {
+  uint64_t id;
+  std::string ip;
+  uint16_t port;
+  std::string control, zone;
+  template <class A>
+  void serialize(A& a) {
+    a(id, ip, port, control, zone);
+  }
+};
+struct Entry {
+  uint64_t term, index;
+  uint8_t kind;
+  std::string data;
+  template <class A>
+  void serialize(A& a) {
+    a(term, index, kind, data);
+  }
+};
+struct Snapshot {
+  uint64_t index, term;
+  std::vector<Member> voters;
+  std::string state;
+  template <class A>
+  void serialize(A& a) {
+    a(index, term, voters, state);
+  }
+};
+struct HardState {
+  uint64_t cluster, self, term, voted_for;
+  template <class A>
+  void serialize(A& a) {
+    a(cluster, self, term, voted_for);
+  }
+};
+template <class T>
+std::string Bytes(T value) {
+  std::ostringstream out;
+  cereal::BinaryOutputArchive archive(out);
+  archive(value);
+  return out.str();
+}
+}  // namespace version_0_1_0
+
+TEST_F(StoreTest, ReadsWhatVersion010Wrote) {
+  namespace old = version_0_1_0;
+  leveldb::Options options;
+  options.create_if_missing = true;
+  options.write_buffer_size = 512 << 10;
+  options.compression = leveldb::kNoCompression;
+  leveldb::DB* opened = nullptr;
+  ASSERT_TRUE(leveldb::DB::Open(options, path_.string(), &opened).ok());
+  std::unique_ptr<leveldb::DB> db(opened);
+  leveldb::WriteOptions synced;
+  synced.sync = true;
+  auto put = [&](const std::string& key, const std::string& value) {
+    ASSERT_TRUE(db->Put(synced, key, value).ok());
+  };
+  put("hard", old::Bytes(old::HardState{7, 8, 5, 9}));
+  put("snapshot", old::Bytes(old::Snapshot{40,
+                                           3,
+                                           {{8, "10.0.0.1", 7000, "10.0.0.1:8383", "z1"},
+                                            {9, "10.0.0.2", 7000, "", "z2"}},
+                                           std::string(600'000, 's')}));
+  for (uint64_t index = 30; index <= 300; ++index) {  // the index in eight bytes, high ones first
+    std::string key = "e" + std::string(6, '\0');
+    key.push_back(static_cast<char>(index >> 8));
+    key.push_back(static_cast<char>(index));
+    put(key, old::Bytes(old::Entry{index < 100 ? 3u : 5u, index, static_cast<uint8_t>(index % 3),
+                                   std::string(5000, static_cast<char>(index))}));
+  }
+  put("commit", old::Bytes<uint64_t>(290));
+  db.reset();
+
+  for (int openings = 0; openings < 2; ++openings) {  // as it was, and once rewritten
+    Restored restored = Reload();
+    EXPECT_FALSE(restored.empty);
+    EXPECT_EQ(restored.hard.cluster, 7u);
+    EXPECT_EQ(restored.hard.self, 8u);
+    EXPECT_EQ(restored.hard.term, 5u);
+    EXPECT_EQ(restored.hard.voted_for, 9u);
+    EXPECT_EQ(restored.commit, 290u);
+    EXPECT_EQ(restored.snapshot.index, 40u);
+    EXPECT_EQ(restored.snapshot.term, 3u);
+    EXPECT_EQ(restored.snapshot.state, std::string(600'000, 's'));
+    ASSERT_EQ(restored.snapshot.voters.size(), 2u);
+    EXPECT_EQ(restored.snapshot.voters[0].ip, "10.0.0.1");
+    EXPECT_EQ(restored.snapshot.voters[0].port, 7000);
+    EXPECT_EQ(restored.snapshot.voters[0].control, "10.0.0.1:8383");
+    EXPECT_EQ(restored.snapshot.voters[1].zone, "z2");
+    ASSERT_EQ(restored.entries.size(), 271u);
+    for (size_t i = 0; i < restored.entries.size(); ++i) {
+      const Entry& entry = restored.entries[i];
+      ASSERT_EQ(entry.index, 30 + i);
+      EXPECT_EQ(entry.term, entry.index < 100 ? 3u : 5u);
+      EXPECT_EQ(static_cast<uint64_t>(entry.kind), entry.index % 3);
+      EXPECT_EQ(entry.data, std::string(5000, static_cast<char>(entry.index)));
+    }
+  }
+}
+
 // The only voter of a log with a state of 0.9 MB, changed whole and in parts by turns.
 TEST_F(StoreTest, ManyLargeChangesNeedLittleRoom) {
   constexpr size_t kState = 900'000, kChanges = 64;
