A process that slept or is cut off names no leader and leads no more, whatever comes first

Consensus noticed a sleep only in Tick, by the time since anything came in: after a thaw the replies that had waited in the kernel came first, hid the gap, counted as answers of now, and a leader of ten seconds ago went on leading, with its watcher's touches renewing leases, until check-quorum. A follower named the leader that it had last heard for 1.2 s and until the next tick, also after a sleep, and one that was told to take over named the one that handed over. Check-quorum took up to 1.8 s of silence.

Now every way in (Tick, Receive, Read, Propose, Join, Persisted) begins with Wake: a gap over the election time-out ends what a follower believed, over two of them a leadership, and pending reads fail. LeaderInTouch names a leader heard within one election time-out (for a leader: answered by a majority within it); redirects, confirmations and the watchers' touches use it. Check-quorum steps down at two election time-outs, when others lead at the latest. A rollout-report says 404 only where a leader is in touch, else 503.

--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -54,6 +54,7 @@
 void Machine::StartElection(base::Millis now) {
   role_ = Role::kCandidate;
   out_.role_changed = true;
+  leader_id_ = 0;  // one that handed over leads no more
   ++term_;
   SetHardState(term_, self_.id);
   votes_ = {self_.id};
@@ -76,7 +77,6 @@
   fresh_ = false;
   out_.role_changed = true;
   leader_id_ = self_.id;
-  quorum_since_ = now;
   progress_.clear();
   SyncProgress();
   Append(EntryKind::kNoop, "");
--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -87,6 +87,33 @@
   return m;
 }
 
+std::optional<Member> Machine::LeaderInTouch(base::Millis now) const {
+  if (now - now_ > timing_.election) return std::nullopt;
+  base::Millis heard = leading() ? MajorityHeard() : leader_heard_;
+  if (now - heard > timing_.election) return std::nullopt;
+  return leader();
+}
+
+base::Millis Machine::MajorityHeard() const {
+  std::vector<base::Millis> heard;
+  for (const Member& v : voters_) {
+    auto at = progress_.find(v.id);
+    heard.push_back(v.id == self_.id ? now_ : at == progress_.end() ? 0 : at->second.heard);
+  }
+  if (heard.size() < Majority()) return 0;
+  std::sort(heard.rbegin(), heard.rend());
+  return heard[Majority() - 1];
+}
+
+void Machine::Wake(base::Millis now) {
+  base::Millis gap = now - now_;
+  now_ = std::max(now_, now);
+  if (gap <= (leading() ? timing_.election * 2 : timing_.election)) return;
+  // What was heard before says nothing about now, and neither does what waited meanwhile. Give a
+  // leader time to be heard.
+  BecomeFollower(now, term_, 0);
+}
+
 base::Millis Machine::LastHeard(MemberId id) const {
   if (id == self_.id) return now_;
   auto at = progress_.find(id);
@@ -145,7 +172,7 @@
 }
 
 void Machine::Persisted(base::Millis now, uint64_t sequence, bool ok) {
-  now_ = now;
+  Wake(now);
   if (!ok) {
     // A refused write ends this member's part: what it told before stands, nothing new is told.
     broken_ = true;
@@ -172,20 +199,14 @@
 }
 
 void Machine::Tick(base::Millis now) {
-  base::Millis gap = now - now_;
-  now_ = now;
+  Wake(now);
   if (commit_ > commit_told_ && !broken_) {
     commit_told_ = commit_;
     Write().commit = commit_;
   }
   if (leading()) {
-    // Check-quorum: a leader that hears no majority, or slept, must not think that it still leads.
-    size_t heard = 0;
-    for (const Member& v : voters_) {
-      if (v.id == self_.id || now - progress_[v.id].heard < timing_.election * 2) ++heard;
-    }
-    if (heard >= Majority()) quorum_since_ = now;
-    if (now - quorum_since_ > timing_.election || gap > timing_.election * 2) {
+    // Check-quorum: by the longest election time-out, others lead where it hears no majority.
+    if (now - MajorityHeard() > timing_.election * 2) {
       BecomeFollower(now, term_, 0);
       return;
     }
@@ -202,11 +223,6 @@
     }
     return;
   }
-  if (gap > timing_.election) {
-    // Slept: what was heard before says nothing about now. Give a leader time to be heard.
-    ResetElection(now);
-    return;
-  }
   if (leader_id_ && now - leader_heard_ > timing_.election * 2) {
     leader_id_ = 0;
     out_.role_changed = true;
@@ -215,7 +231,7 @@
 }
 
 void Machine::Receive(base::Millis now, const Message& m, const base::Address& from) {
-  now_ = now;
+  Wake(now);
   if (m.to != self_.id || broken_) return;
   if (hard_.cluster == 0 && m.cluster != 0 &&
       (m.type == MessageType::kAppendEntries || m.type == MessageType::kInstallSnapshot)) {
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -91,6 +91,10 @@
   bool IsVoter(MemberId id) const;
   std::optional<Member> leader() const;
   base::Millis leader_heard() const { return leader_heard_; }
+  // Who leads by what was heard within the election time-out: where callers may be sent. For a
+  // leader itself, nobody once that long has passed since a majority answered; nobody for a process
+  // that slept meanwhile.
+  std::optional<Member> LeaderInTouch(base::Millis now) const;
   // For the leader: when a member last answered; for status, duty and replacement.
   base::Millis LastHeard(MemberId id) const;
   bool disk_stuck(base::Millis now) const;
@@ -129,6 +133,10 @@
   void RefreshVoters();
   Index LastVotersIndex() const;
 
+  // All that happens begins here: a process that slept must not act by what it knew before.
+  void Wake(base::Millis now);
+  // For the leader: since when a majority has not answered, itself included.
+  base::Millis MajorityHeard() const;
   void BecomeFollower(base::Millis now, Term term, MemberId leader);
   void StartPreVote(base::Millis now);
   void StartElection(base::Millis now);
@@ -192,7 +200,6 @@
   base::Millis leader_heard_ = 0;
   base::Millis election_at_ = 0;
   base::Millis heartbeat_at_ = 0;
-  base::Millis quorum_since_ = 0;
   base::Millis now_ = 0;
   std::set<MemberId> votes_;
   std::map<MemberId, Progress> progress_;
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -50,7 +50,7 @@
 }
 
 void Machine::Join(base::Millis now, const Member& member) {
-  now_ = now;
+  Wake(now);
   if (!leading() || member.id == 0 || member.id == self_.id || IsVoter(member.id)) return;
   auto [at, added] = progress_.try_emplace(member.id);
   at->second.member = member;
--- a/src/consensus/read_index.cc
+++ b/src/consensus/read_index.cc
@@ -11,7 +11,7 @@
 }
 
 bool Machine::Read(base::Millis now, uint64_t token) {
-  now_ = now;
+  Wake(now);
   if (!settled()) return false;
   reads_.push_back({token, ++round_});
   if (Majority() == 1) {
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -29,7 +29,7 @@
 }
 
 std::optional<Index> Machine::Propose(base::Millis now, std::string command) {
-  now_ = now;
+  Wake(now);
   if (!settled() || broken_) return std::nullopt;
   Index index = Append(EntryKind::kCommand, std::move(command));
   Broadcast(now);
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -256,7 +256,7 @@
 }
 
 std::optional<std::string> Controller::leader_control() const {
-  auto leader = replica_->machine().leader();
+  auto leader = replica_->machine().LeaderInTouch(base::SteadyMillis());
   if (!leader || leader->control.empty()) return std::nullopt;
   return leader->control;
 }
@@ -353,7 +353,7 @@
   }
   news::ConfirmReply reply;
   reply.nonce = confirm.nonce;
-  if (auto leader = replica_->machine().leader(); leader && !leading()) {
+  if (auto leader = replica_->machine().LeaderInTouch(base::SteadyMillis()); leader && !leading()) {
     reply.leader_ip = leader->ip;
     reply.leader_port = leader->port;
   } else if (auto neighbour = DurableNeighbour(); neighbour && !leading()) {
@@ -524,7 +524,7 @@
 
 bool Controller::HearsLeader(base::Millis now) const {
   const consensus::Machine& m = replica_->machine();
-  return leading() ? settled()
+  return leading() ? settled() && m.LeaderInTouch(now)
                    : m.leader_heard() != 0 && now - m.leader_heard() < settings_.election_ms * 2;
 }
 
@@ -730,7 +730,7 @@
   }
   if (Idle()) return SendOn(ticket, request.target);
   auto leader = replica_->started() ? leader_control() : std::nullopt;
-  if (!leading() && leader && HearsLeader(base::SteadyMillis())) {
+  if (!leading() && leader) {
     wire::Message answer = wire::OwnAnswer(307, "the leader is elsewhere");
     answer.headers.push_back({"Location", "http://" + *leader + request.target});
     control_->Answer(ticket, answer);
@@ -742,7 +742,12 @@
   answer.headers.push_back({"Content-Type", "application/json"});
   answer.body = RolloutsJson(
       query == std::string::npos ? "" : std::string_view(request.target).substr(query + 9));
-  if (answer.body.empty()) answer = wire::OwnAnswer(404, "no roll-out of this service was ordered");
+  if (answer.body.empty() && leading() && HearsLeader(base::SteadyMillis())) {
+    answer = wire::OwnAnswer(404, "no roll-out of this service was ordered");
+  } else if (answer.body.empty()) {
+    answer = wire::OwnAnswer(503, "no leader is known, and here none was ordered");
+    answer.headers.push_back({"Retry-After", "0.3"});
+  }
   control_->Answer(ticket, answer);
 }
 
@@ -775,7 +780,7 @@
   w.StartObject();
   text("node", settings_.node_name);
   w.Key("settled");
-  w.Bool(leading() && settled());
+  w.Bool(leading() && HearsLeader(now));
   w.Key("by-order");
   w.Bool(settings_.VersionsByOrder());
   w.Key("in-force");
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -13,6 +13,7 @@
 #include "consensus/machine.h"
 #include "controller/control_state.h"
 #include "duty/duty.h"
+#include "news/confirm.h"
 #include "news/exchange.h"
 #include "ring/membership.h"
 #include "rollout/conductor.h"
@@ -42,7 +43,15 @@
     // Whether an answer of its new version is a failure, so long after the order.
     std::function<bool(base::Random&, Millis)> new_fails;
     double old_fails = 0.003;
+    bool confirm = false;  // starting proxies ask the core whether what they hold is current
   };
+  // What a machine of the log causes, for tests that play what rests on it.
+  struct Hooks {
+    std::function<void(size_t, const consensus::Entry&)> applied;
+    std::function<void(size_t)> role_changed;
+    std::function<void(size_t, uint64_t, bool)> read_done;
+  };
+
   // What became of the roll-out of "s" to "v2".
   struct Traffic {
     Millis ordered_at = -1;  // acknowledged
@@ -84,6 +93,10 @@
       uint64_t server;
     };
     std::vector<Flight> flights;
+    std::unique_ptr<news::Confirmation> confirmation;  // of a proxy's life
+    Millis confirmed_at = -1;
+    size_t asked = 0;
+    std::map<uint64_t, std::pair<Address, uint64_t>> confirms;  // a controller's, by read token
     Millis tally_at = 0;
     int in_flight_old() const {
       return static_cast<int>(std::count_if(flights.begin(), flights.end(),
@@ -138,6 +151,9 @@
     news.seed = random_.Next();
     n.news = std::make_unique<news::Exchange>(news, n.members.get(), now);
     n.flights.clear();
+    n.confirmation = std::make_unique<news::Confirmation>(n.life);
+    n.confirmed_at = -1;
+    n.confirms.clear();
     n.gate = std::make_unique<rollout::Gate>(rollout::Gate::Options{});
     n.conductor = std::make_unique<rollout::Conductor>(rollout::Conductor::Options());
     rollout::Watcher::Options watch;
@@ -203,6 +219,14 @@
       cuts_.erase({std::min(a, b), std::max(a, b)});
     }
   }
+  // What `from` sends does not reach `to`; the other way all is well.
+  void CutOneWay(size_t from, size_t to, bool cut) {
+    if (cut) {
+      one_way_cuts_.insert({from, to});
+    } else {
+      one_way_cuts_.erase({from, to});
+    }
+  }
   void Isolate(size_t i, bool cut) {
     for (size_t k = 0; k < nodes_.size(); ++k) {
       if (k != i) Cut(i, k, cut);
@@ -210,6 +234,7 @@
   }
   void HealAll() {
     cuts_.clear();
+    one_way_cuts_.clear();
     for (size_t i = 0; i < nodes_.size(); ++i) {
       Freeze(i, false);
       nodes_[i]->disk_hangs_until = 0;
@@ -329,16 +354,21 @@
     for (auto& n : nodes_) n->bytes = 0;
   }
 
+  // Sends what the node has been caused to send.
+  void Flush(size_t i) { Pump(i); }
+
+  Hooks hooks;
   Millis now = 1000;
   std::string fault;
   Traffic traffic;
   base::Random& random() { return random_; }
 
  private:
-  using Body = std::variant<consensus::Message, consensus::Member, ring::Heartbeat, ring::Table,
-                            ring::Sums, ring::Summary, news::Digest, news::Pull, news::ConfigNews,
-                            news::CatalogNews, news::EvacuationNews, duty::Resignation,
-                            news::RolloutNews, rollout::Tally, rollout::Touch, rollout::Vote>;
+  using Body =
+      std::variant<consensus::Message, consensus::Member, ring::Heartbeat, ring::Table, ring::Sums,
+                   ring::Summary, news::Digest, news::Pull, news::ConfigNews, news::CatalogNews,
+                   news::EvacuationNews, duty::Resignation, news::RolloutNews, rollout::Tally,
+                   rollout::Touch, rollout::Vote, news::Confirm, news::ConfirmReply>;
   struct Packet {
     Millis at;
     uint64_t order;
@@ -368,6 +398,7 @@
       Packet p = packets_.top();
       packets_.pop();
       if (cuts_.count({std::min(p.from, p.to), std::max(p.from, p.to)})) continue;
+      if (one_way_cuts_.count({p.from, p.to})) continue;
       Node& n = *nodes_[p.to];
       if (!n.up) continue;
       if (n.frozen) {
@@ -391,12 +422,14 @@
         if (now % 50 == 0) TickController(i);
       }
       if (!n.controller && options_.requests > 0) Serve(i);
+      if (!n.controller && options_.confirm) AskConfirmation(i);
       Pump(i);
     }
   }
 
-  static bool Propose(Node& n, const rollout::Step& step) {
-    return n.machine->Propose(0, controller::MakeCommand(controller::Command::Kind::kRollout, step))
+  bool Propose(Node& n, const rollout::Step& step) {
+    return n.machine
+        ->Propose(now, controller::MakeCommand(controller::Command::Kind::kRollout, step))
         .has_value();
   }
   std::vector<rollout::Candidate> Watchers(const Node& n) const {
@@ -407,6 +440,51 @@
     return found;
   }
 
+  void AskConfirmation(size_t i) {
+    Node& n = *nodes_[i];
+    news::Versions held{n.news->revision(), n.news->orders().version(),
+                        n.news->rollouts().version()};
+    if (n.confirmed_at >= 0) return;
+    if (n.confirmation->Holds(now, held)) {
+      n.confirmed_at = now;
+      // What was acknowledged before the question was put, of at most a second ago.
+      auto known = acknowledged_at_.upper_bound(now - 1000);
+      if (known != acknowledged_at_.begin() && held.revision < std::prev(known)->second) {
+        Fail(n.address.ip + " took an old configuration for confirmed");
+      }
+      return;
+    }
+    if (now % 100 != 0) return;
+    const Address& to = nodes_[n.asked++ % static_cast<size_t>(options_.controllers)]->address;
+    Send(i, to, n.confirmation->Ask(now));
+  }
+
+  void OnConfirm(size_t i, const Address& from, const news::Confirm& confirm) {
+    Node& n = *nodes_[i];
+    uint64_t token = ++order_;
+    n.confirms[token] = {from, confirm.nonce};
+    if (n.machine->Read(now, token)) return;
+    AnswerConfirm(i, token, false);
+  }
+
+  void AnswerConfirm(size_t i, uint64_t token, bool confirmed) {
+    Node& n = *nodes_[i];
+    auto at = n.confirms.find(token);
+    if (at == n.confirms.end()) return;
+    news::ConfirmReply reply;
+    reply.nonce = at->second.second;
+    reply.confirmed = confirmed;
+    if (confirmed) {
+      reply.versions = {n.state.configuration.revision(), n.state.orders.version(),
+                        n.state.rollouts.version()};
+    } else if (auto leader = n.machine->LeaderInTouch(now); leader && !n.machine->leading()) {
+      reply.leader_ip = leader->ip;
+      reply.leader_port = leader->port;
+    }
+    Send(i, at->second.first, reply);
+    n.confirms.erase(at);
+  }
+
   // A proxy's step: requests come, each for 40 ms at a server; it counts and tells its counts.
   void Serve(size_t i) {
     Node& n = *nodes_[i];
@@ -553,7 +631,13 @@
       n.gate->Heard(now, *m);
       n.news->OnRolloutVersion(now, from, m->version);
     }
+    if (auto* m = std::get_if<news::ConfirmReply>(&body); m && !n.controller) {
+      if (auto leader = n.confirmation->OnReply(now, *m)) {
+        Send(i, *leader, news::Confirm{m->nonce});
+      }
+    }
     if (!n.controller) return;
+    if (auto* m = std::get_if<news::Confirm>(&body)) OnConfirm(i, from, *m);
     if (auto* m = std::get_if<rollout::Tally>(&body)) {
       bool heard = n.machine->settled() ||
                    (n.machine->leader_heard() && now - n.machine->leader_heard() < 1200);
@@ -671,8 +755,10 @@
     Node& n = *nodes_[i];
     for (;;) {
       consensus::Machine::Effects e = n.machine->Take();
-      if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty())
+      if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty() &&
+          e.reads_ready.empty() && e.reads_failed.empty() && !e.role_changed) {
         break;
+      }
       for (auto& write : e.writes)
         n.writing.push_back({now + 2 + static_cast<Millis>(random_.Below(20)), std::move(write)});
       for (auto& out : e.messages) Send(i, out.to, out.message);
@@ -687,11 +773,15 @@
         auto [at, added] = committed_.emplace(entry.index, digest);
         if (!added && at->second != digest)
           Fail(n.address.ip + " committed another entry at " + std::to_string(entry.index));
-        if (entry.kind == consensus::EntryKind::kCommand) n.state.Apply(entry.data);
+        if (entry.kind == consensus::EntryKind::kCommand) {
+          n.state.Apply(entry.data);
+          if (hooks.applied) hooks.applied(i, entry);
+        }
         auto sent = pending_.find({&n, n.life, entry.index});
         if (sent != pending_.end()) {
           if (n.machine->leading() && n.state.configuration.revision() == sent->second.first) {
             acknowledged_ = std::max(acknowledged_, sent->second.first);
+            acknowledged_at_[now] = acknowledged_;
             auto [at, added] = built_on_.emplace(sent->second.second, sent->second.first);
             if (!added && at->second != sent->second.first) {
               Fail("two changes built on " + std::to_string(sent->second.second) +
@@ -713,6 +803,16 @@
       }
       n.news->Commit(n.state.orders);
       FollowRollouts(n);
+      if (e.role_changed && hooks.role_changed) hooks.role_changed(i);
+      for (bool ok : {false, true}) {
+        for (uint64_t token : ok ? e.reads_ready : e.reads_failed) {
+          if (n.confirms.count(token)) {
+            AnswerConfirm(i, token, ok);
+          } else if (hooks.read_done) {
+            hooks.read_done(i, token, ok);
+          }
+        }
+      }
       if (n.machine->log_size() > 24)
         n.machine->Compact(n.machine->commit(), wire::Encode(n.state));
     }
@@ -730,9 +830,11 @@
   std::vector<consensus::Member> founders_;
   std::priority_queue<Packet> packets_;
   std::set<std::pair<size_t, size_t>> cuts_;
+  std::set<std::pair<size_t, size_t>> one_way_cuts_;  // from, to
   uint64_t order_ = 0, messages_ = 0;
   int list_ = 0;
   int64_t next_revision_ = 0, acknowledged_ = 0;
+  std::map<Millis, int64_t> acknowledged_at_;
   std::map<std::tuple<Node*, uint64_t, consensus::Index>, std::pair<int64_t, int64_t>> pending_;
   std::map<std::tuple<Node*, uint64_t, consensus::Index>, std::pair<std::string, bool>> ordered_;
   std::map<std::string, bool> evacuated_;  // as last acknowledged
