Evacuation: 404 for a zone only from a leader that a majority has confirmed

"No such zone" was answered before it was asked who leads, by what the asked node had of the list: a controller that had just started or was cut off refused an order of a zone that it had not heard of. A zone that was evacuated and had lost its last server could not be taken back.

The zone is now looked at right before the order would be proposed, on the leader, after the read was confirmed; one that is evacuated is known.

--- a/src/configuration/operator_api.cc
+++ b/src/configuration/operator_api.cc
@@ -81,10 +81,6 @@
       Reply(job->ticket, 405, "POST, DELETE");
       return false;
     }
-    if (!log_->HasZone(job->order.zone)) {
-      Reply(job->ticket, 404, "no such zone");
-      return false;
-    }
     return true;
   }
   if (request.Path() != "/elderkeel/config") return UnderstandRollout(request, job);
@@ -225,6 +221,11 @@
       continue;
     }
     Register::Verdict verdict = Judge(job);
+    // Which zones there are may be news; one that is evacuated is known whatever became of it.
+    if (job.kind == Job::Kind::kOrder && !orders_->Evacuated(job.order.zone) &&
+        !log_->HasZone(job.order.zone)) {
+      verdict = {404, "no such zone"};
+    }
     if (verdict.status != 0) {
       Reply(job.ticket, verdict.status, verdict.reason);
       at = jobs_.erase(at);
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -300,6 +300,31 @@
   EXPECT_EQ(StatusOf(5), 200);
 }
 
+// Which zones there are is news to a node that has just started, or is cut off.
+TEST_F(OperatorApiTest, RefusesAZoneOnlyWhereItLeadsByAMajoritysWord) {
+  wire::Message request;
+  request.method = "POST";
+  request.target = "/elderkeel/evacuation/nowhere";
+  log_.leading_ = log_.settled_ = false;
+  api_.OnRequest(0, 1, request);
+  EXPECT_EQ(StatusOf(1), 503);
+  log_.leader_ = "10.0.0.4:8080";
+  api_.OnRequest(0, 2, request);
+  EXPECT_EQ(StatusOf(2), 307);
+  log_.leading_ = log_.settled_ = true;
+  api_.OnRequest(0, 3, request);
+  EXPECT_EQ(StatusOf(3), 0);
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(3), 404);
+  // A zone that is evacuated is one, also when its last server is gone.
+  orders_.Apply({"nowhere", true});
+  request.method = "DELETE";
+  api_.OnRequest(0, 4, request);
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(4), 0);
+  EXPECT_EQ(log_.orders_.size(), 1u);
+}
+
 TEST_F(OperatorApiTest, EvacuatesAndTakesBackByTheLog) {
   auto order = [&](const char* method, const char* zone) {
     wire::Message request;
