Gate: a watcher that is behind renews no lease; former holders' words shown to end

A watcher's touch renewed a proxy's lease on the version under trial by the number of the roll-out alone. A watcher that knows an older state than the proxy can't tell that nothing was taken back, so its touch must be of the proxy's version at least.

For the list and the orders to evacuate the suspicion proved wrong, and a test shows it: a former holder's word is refused by its epoch, and one that a receiver took right after its start ends with the first word of the successor. Not promised: that a receiver without any word of the successor refuses the former holder's.

Seen to fail: Gate.TakesNoWordOfAWatcherThatIsBehind on the code of before (case "one of before"). The test of the exchange passes on both.

--- a/src/rollout/gate.cc
+++ b/src/rollout/gate.cc
@@ -47,7 +47,8 @@
 
 void Gate::Heard(base::Millis now, const Touch& touch) {
   for (auto& [service, part] : active_) {
-    if (part.rollout.number == touch.number) part.heard_at = now;
+    // A watcher that knows of less than this proxy can't tell that nothing was taken back since.
+    if (part.rollout.number == touch.number && touch.version >= version_) part.heard_at = now;
   }
 }
 
--- a/tests/cut_test.cc
+++ b/tests/cut_test.cc
@@ -244,6 +244,73 @@
   EXPECT_FALSE(successor.machine().LeaderInTouch(successor.now));
 }
 
+// A proxy's lease on the new version is renewed by a watcher that knows at least as much, of the
+// same roll-out, and by nobody else.
+TEST(Gate, TakesNoWordOfAWatcherThatIsBehind) {
+  struct Case {
+    const char* name;
+    uint64_t number;  // beyond that of the roll-out
+    int version;      // beyond that of the proxy
+    bool tries;
+  } cases[] = {
+      {"the same", 0, 0, true},
+      {"one that knows more", 0, 1, true},
+      {"one of before", 0, -1, false},
+      {"of another roll-out", 1, 0, false},
+  };
+  for (const Case& c : cases) {
+    rollout::Rollouts state;
+    rollout::Step found, order;
+    found.found = {{"s", "v1"}};
+    ASSERT_TRUE(state.Apply(found));
+    order.kind = rollout::Step::Kind::kOrder;
+    order.order = {"s", "v2", 10000};
+    order.watchers = {1, 2, 3};
+    ASSERT_TRUE(state.Apply(order));
+    rollout::Gate gate{rollout::Gate::Options{}};
+    gate.Adopt(0, state);
+    EXPECT_EQ(gate.RuleOf(0, "s").side, "v2");
+    uint64_t version = static_cast<uint64_t>(static_cast<int64_t>(state.version()) + c.version);
+    for (Millis now = 100; now <= 20000; now += 100) {
+      gate.Heard(now, {state.Of("s")->number + c.number, version});
+    }
+    EXPECT_EQ(gate.RuleOf(20000, "s").side == "v2", c.tries) << c.name;
+  }
+}
+
+// What a former holder of the list says, also to a receiver that has just started, gives way to
+// its successor's word, and never comes back.
+TEST(Exchange, TheWordOfAFormerHolderEndsWithTheFirstOfItsSuccessor) {
+  ring::Membership members({}, {}, 0);
+  auto list = [](uint64_t epoch, uint64_t sequence) {
+    news::CatalogNews news;
+    news.epoch = epoch;
+    news.sequence = sequence;
+    return news;
+  };
+  const base::Address from{"10.0.0.2", 1};
+  for (bool restarted : {false, true}) {
+    news::Exchange exchange({}, &members, 0);
+    if (!restarted) exchange.OnCatalog(0, from, list(4, 1));
+    exchange.OnCatalog(10, from, list(3, 9));  // of the former holder
+    EXPECT_EQ(exchange.catalog().epoch, restarted ? 3u : 4u);
+    exchange.OnCatalog(20, from, list(4, 1));
+    exchange.OnCatalog(30, from, list(3, 10));
+    EXPECT_EQ(exchange.catalog().epoch, 4u);
+    // Nor does a former holder publish once it has heard of its successor.
+    EXPECT_FALSE(exchange.Publish(40, {3, 11, {}}));
+    EXPECT_EQ(exchange.catalog().epoch, 4u);
+    news::EvacuationNews old;
+    news::EvacuationNews current;
+    old.orders.Apply({"a", true});
+    current.orders = old.orders;
+    current.orders.Apply({"a", false});
+    exchange.OnEvacuation(50, from, current);
+    exchange.OnEvacuation(60, from, old);
+    EXPECT_FALSE(exchange.orders().Evacuated("a"));
+  }
+}
+
 // The operator's interface of every controller, on the simulated log.
 class Desks {
  public:
