--- a/src/configuration/operator_api.cc
+++ b/src/configuration/operator_api.cc
@@ -258,6 +258,11 @@
       continue;
     }
     Register::Verdict verdict = Judge(job);
+    // Which zones there are may be news; one that is evacuated is known whatever became of it.
+    if (job.kind == Job::Kind::kOrder && !orders_->Evacuated(job.order.zone) &&
+        !log_->HasZone(job.order.zone)) {
+      verdict = {404, "no such zone"};
+    }
     if (verdict.status == 0 && now >= job.deadline) verdict = {503, "no majority in time"};
     if (verdict.status == 0 && Overtaken(job)) verdict = {503, "another order came in between"};
     if (verdict.status != 0) {
