A proxy makes its table of the one before and the patch

After each patch a proxy parsed the whole document and made every route anew: 10.8 ms at 4,300 routes, 59 ms at 20,000, on the loop that forwards requests.

Routes are now held by label and by host and prefix in maps whose copies share all but the parts that change (SharedMap, 512 parts), so a table made of another one costs what the patch holds, and leaves the other as requests under way see it. What a front looks at after a change are the routes that changed. A whole configuration, or a patch that doesn't lead from the table in force, builds the table as before. A request finds its route with one string for host and path, where each prefix that was tried took one of its own.

Ruled out: changing the table in place (requests hold on to theirs); a persistent tree from a library (another dependency for 60 lines).

Tests: with random changes the table made of the one before tells of every place and service what one made of the whole document does, and the one before tells what it told.

--- a/src/configuration/document.cc
+++ b/src/configuration/document.cc
@@ -292,14 +292,17 @@
 }
 
 const Route* Table::Match(std::string_view host, std::string_view path) const {
-  size_t colon = host.find(':');
-  auto at = hosts_.find(Lower(std::string(host.substr(0, colon))));
-  if (at == hosts_.end()) return nullptr;
+  std::string place = Lower(std::string(host.substr(0, host.find(':'))));
+  place += '\0';
+  size_t prefix = place.size();
+  place += path;
   // A prefix ends with a slash, so only the cuts behind slashes can match; the longest first.
-  for (size_t end = path.rfind('/'); end != std::string_view::npos;
-       end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
-    auto found = at->second.find(std::string(path.substr(0, end + 1)));
-    if (found != at->second.end()) return &routes_[found->second];
+  while (place.size() > prefix) {
+    size_t slash = place.rfind('/');
+    if (slash == std::string::npos || slash < prefix) return nullptr;
+    place.resize(slash + 1);
+    if (const SharedRoute* route = by_place_.Find(place)) return route->get();
+    place.resize(slash);
   }
   return nullptr;
 }
@@ -314,34 +317,29 @@
   return route.targets.back().service;
 }
 
-std::shared_ptr<const Table> Table::Build(std::string_view text, base::Names* names,
-                                          base::Names* regions) {
-  Document d;
-  if (!ReadObject(text, &d)) return nullptr;
-  auto table = std::make_shared<Table>();
-  table->revision_ = Whole(d, "revision", 0);
-  if (d.HasMember("limits") && d["limits"].IsObject()) {
-    const Value& l = d["limits"];
-    wire::Limits& limits = table->limits_;
-    limits.header_bytes = static_cast<size_t>(Whole(l, "max-header-bytes", 16384));
-    limits.body_bytes = static_cast<size_t>(Whole(l, "max-body-bytes", 64 << 20));
-    limits.header_ms = Whole(l, "header-timeout-ms", limits.header_ms);
-    limits.idle_ms = Whole(l, "idle-timeout-ms", limits.idle_ms);
-  }
-  for (const Value& s : d["service-list"].GetArray()) {
-    uint32_t index = names->Intern(s["label"].GetString());
-    if (index >= table->services_.size()) {
-      table->services_.resize(index + 1);
-      table->known_.resize(index + 1);
-    }
-    Service& service = table->services_[index];
+// Makes routes and services of their JSON.
+class Table::Builder {
+ public:
+  Builder(Table* table, base::Names* names, base::Names* regions)
+      : table_(table), names_(names), regions_(regions) {}
+
+  void Add(const Value& s) {
+    uint32_t index = names_->Intern(s["label"].GetString());
+    if (index >= table_->services_.size()) table_->services_.resize(index + 1);
+    Service service;
     service.label = s["label"].GetString();
     service.health_path = s.HasMember("health-path") ? s["health-path"].GetString() : "/";
     service.max_conns = static_cast<int>(Whole(s, "max-conns", 64));
     if (s.HasMember("warmup-per-s")) service.warmup_per_s = s["warmup-per-s"].GetDouble();
-    table->known_[index] = true;
+    table_->services_[index] = std::make_shared<const Service>(std::move(service));
   }
-  for (const Value& r : d["route-list"].GetArray()) {
+
+  void RemoveService(const std::string& label) {
+    uint32_t index = names_->Find(label);
+    if (index < table_->services_.size()) table_->services_[index].reset();
+  }
+
+  void AddRoute(const Value& r) {
     Route route;
     route.label = r["label"].GetString();
     route.host = Lower(r["host"].GetString());
@@ -353,12 +351,12 @@
     route.max_attempts = static_cast<int>(Whole(r, "max-attempts", 1));
     if (r.HasMember("allowed-regions")) {
       for (const Value& region : r["allowed-regions"].GetArray()) {
-        route.regions.push_back(regions->Intern(region.GetString()));
+        route.regions.push_back(regions_->Intern(region.GetString()));
       }
     }
     auto add = [&](const char* name, uint32_t weight) {
       if (weight == 0) return;
-      route.targets.push_back({names->Intern(name), weight});
+      route.targets.push_back({names_->Intern(name), weight});
       route.weight_sum += weight;
     };
     if (r.HasMember("target")) {
@@ -368,9 +366,77 @@
         add(t["target"].GetString(), static_cast<uint32_t>(t["weight"].GetInt64()));
       }
     }
-    table->hosts_[route.host][route.prefix] = static_cast<uint32_t>(table->routes_.size());
-    table->routes_.push_back(std::move(route));
+    auto shared = std::make_shared<const Route>(std::move(route));
+    table_->by_label_.Set(shared->label, shared);
+    table_->by_place_.Set(PlaceOf(*shared), shared);
+    table_->changed_.push_back(std::move(shared));
+  }
+
+  void RemoveRoute(const std::string& label) {
+    const SharedRoute* route = table_->by_label_.Find(label);
+    if (!route) return;
+    table_->by_place_.Erase(PlaceOf(**route));
+    table_->by_label_.Erase(label);
   }
+
+ private:
+  static std::string PlaceOf(const Route& route) {
+    std::string place = route.host;
+    place += '\0';
+    return place + route.prefix;
+  }
+
+  Table* table_;
+  base::Names* names_;
+  base::Names* regions_;
+};
+
+std::shared_ptr<const Table> Table::Build(std::string_view text, base::Names* names,
+                                          base::Names* regions) {
+  Document d;
+  if (!ReadObject(text, &d)) return nullptr;
+  auto table = std::make_shared<Table>();
+  table->revision_ = Whole(d, "revision", 0);
+  if (d.HasMember("limits") && d["limits"].IsObject()) {
+    const Value& l = d["limits"];
+    wire::Limits& limits = table->limits_;
+    limits.header_bytes = static_cast<size_t>(Whole(l, "max-header-bytes", 16384));
+    limits.body_bytes = static_cast<size_t>(Whole(l, "max-body-bytes", 64 << 20));
+    limits.header_ms = Whole(l, "header-timeout-ms", limits.header_ms);
+    limits.idle_ms = Whole(l, "idle-timeout-ms", limits.idle_ms);
+  }
+  Builder builder(table.get(), names, regions);
+  for (const Value& s : d["service-list"].GetArray()) builder.Add(s);
+  for (const Value& r : d["route-list"].GetArray()) builder.AddRoute(r);
+  return table;
+}
+
+std::shared_ptr<const Table> Table::Patch(const Table& base, std::string_view patch,
+                                          base::Names* names, base::Names* regions) {
+  Document p;
+  if (!ReadObject(patch, &p)) return nullptr;
+  auto table = std::make_shared<Table>(base);
+  table->revision_ = Whole(p, "revision", 0);
+  table->changed_.clear();
+  Builder builder(table.get(), names, regions);
+  auto each = [&p](const char* part, const char* list, auto use) {
+    auto at = p.FindMember(part);
+    if (at == p.MemberEnd()) return;
+    for (const auto& member : at->value.GetObject()) {
+      if (member.name != list) continue;
+      for (const Value& item : member.value.GetArray()) use(item);
+    }
+  };
+  each("remove", "service-list", [&](const Value& s) { builder.RemoveService(s.GetString()); });
+  each("upsert", "service-list", [&](const Value& s) { builder.Add(s); });
+  // All that leave their place do so before any takes one; of what is put twice the last counts.
+  std::unordered_map<std::string, const Value*> last;
+  each("remove", "route-list", [&](const Value& r) { builder.RemoveRoute(r.GetString()); });
+  each("upsert", "route-list", [&](const Value& r) {
+    builder.RemoveRoute(r["label"].GetString());
+    last[r["label"].GetString()] = &r;
+  });
+  for (const auto& [label, route] : last) builder.AddRoute(*route);
   return table;
 }
 
--- a/src/configuration/document.h
+++ b/src/configuration/document.h
@@ -63,16 +63,53 @@
   double warmup_per_s = 0;  // requests a second that a cold server carries; 0 if not stated
 };
 
+// A map that is cheap to copy and change a little: copies share all parts but those that one of
+// them changes.
+template <class T>
+class SharedMap {
+ public:
+  const T* Find(const std::string& key) const {
+    const auto& part = parts_[PartOf(key)];
+    if (!part) return nullptr;
+    auto at = part->find(key);
+    return at == part->end() ? nullptr : &at->second;
+  }
+  void Set(const std::string& key, T value) { Own(key)[key] = std::move(value); }
+  void Erase(const std::string& key) {
+    if (Find(key)) Own(key).erase(key);
+  }
+
+ private:
+  using Part = std::unordered_map<std::string, T>;
+  static constexpr size_t kParts = 512;
+  static size_t PartOf(const std::string& key) {
+    return std::hash<std::string>()(key) / 7 % kParts;
+  }
+  Part& Own(const std::string& key) {
+    auto& part = parts_[PartOf(key)];
+    if (!part) {
+      part = std::make_shared<Part>();
+    } else if (part.use_count() > 1) {
+      part = std::make_shared<Part>(*part);
+    }
+    return *part;
+  }
+
+  std::vector<std::shared_ptr<Part>> parts_{kParts};
+};
+
 // A configuration made ready for routing. Never changed once built; requests hold on to the one
 // that was in force when their head was read.
 class Table {
  public:
   int64_t revision() const { return revision_; }
   const wire::Limits& limits() const { return limits_; }
-  const std::vector<Route>& routes() const { return routes_; }
+  // The routes that are new, or not as they were, since the table that this one was made from: all
+  // of them if it was made from a document.
+  const std::vector<std::shared_ptr<const Route>>& changed() const { return changed_; }
   // Indexed by the dense index of the service; null where this version does not know it.
   const Service* service(uint32_t index) const {
-    return index < services_.size() && known_[index] ? &services_[index] : nullptr;
+    return index < services_.size() ? services_[index].get() : nullptr;
   }
   // The route of `host` with the longest prefix that begins `path`.
   const Route* Match(std::string_view host, std::string_view path) const;
@@ -82,14 +119,21 @@
   // From a valid document; names are mapped through `names`, which outlives all tables.
   static std::shared_ptr<const Table> Build(std::string_view text, base::Names* names,
                                             base::Names* regions);
+  // From the table of a valid document and a patch that leads to another valid one; costs what the
+  // patch holds. Null if the patch can't be read. The names are those that `base` was built with.
+  static std::shared_ptr<const Table> Patch(const Table& base, std::string_view patch,
+                                            base::Names* names, base::Names* regions);
 
  private:
+  class Builder;
+
   int64_t revision_ = 0;
   wire::Limits limits_;
-  std::vector<Route> routes_;
-  std::vector<Service> services_;
-  std::vector<bool> known_;
-  std::unordered_map<std::string, std::unordered_map<std::string, uint32_t>> hosts_;
+  using SharedRoute = std::shared_ptr<const Route>;
+  std::vector<SharedRoute> changed_;
+  SharedMap<SharedRoute> by_label_;
+  SharedMap<SharedRoute> by_place_;  // by host, NUL, prefix
+  std::vector<std::shared_ptr<const Service>> services_;
 };
 
 }  // namespace elderkeel::configuration
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -115,14 +115,14 @@
 
 void Front::Adopt(std::shared_ptr<const configuration::Table> table) {
   table_ = std::move(table);
-  for (const configuration::Route& route : table_->routes()) {
-    uint32_t index = routes_.Intern(route.label);
+  for (const auto& route : table_->changed()) {
+    uint32_t index = routes_.Intern(route->label);
     if (index >= means_.size()) {
       means_.resize(index + 1, 0);
-      recorder_->names().Set(telemetry::NameBook::kRoute, index, route.label);
+      recorder_->names().Set(telemetry::NameBook::kRoute, index, route->label);
     }
     // Until there are answers, the operator's aim is the best guess at a route's latency.
-    if (means_[index] == 0) means_[index] = static_cast<double>(route.aim_ms) / 3;
+    if (means_[index] == 0) means_[index] = static_cast<double>(route->aim_ms) / 3;
   }
   for (uint32_t i = 0; i < services_.size(); ++i) {
     const configuration::Service* service = table_->service(i);
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -29,7 +29,10 @@
   ~Front();
 
   base::Result<bool> Listen();
+  // Every table that is made from the one in force must be adopted: only its changes are looked at.
   void Adopt(std::shared_ptr<const configuration::Table> table);
+  // The table in force; null before the first.
+  const std::shared_ptr<const configuration::Table>& table() const { return table_; }
   void Adopt(const catalog::Catalog& catalog);
   void Adopt(const evacuation::Orders& orders);
   void Adopt(const rollout::Rollouts& rollouts);
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -104,8 +104,16 @@
 }
 
 void Proxy::ConfigAdopted() {
-  auto table =
-      configuration::Table::Build(fleet_->news().config_text(), front_->names(), front_->regions());
+  const news::Exchange& news = fleet_->news();
+  std::shared_ptr<const configuration::Table> table;
+  if (front_->table() && !news.config_patch().empty() &&
+      front_->table()->revision() == news.config_base()) {
+    table = configuration::Table::Patch(*front_->table(), news.config_patch(), front_->names(),
+                                        front_->regions());
+  }
+  if (!table) {
+    table = configuration::Table::Build(news.config_text(), front_->names(), front_->regions());
+  }
   if (!table) {
     base::Warn("configuration.unread", {{"revision", fleet_->news().revision()}});
     return;
--- a/tests/change_cost.cc
+++ b/tests/change_cost.cc
@@ -133,7 +133,8 @@
     });
     Expect(adopts->revision() == revision, "a change was not adopted");
     times.Add(kind + ", proxy: Table", [&] {
-      table = configuration::Table::Build(adopts->config_text(), &names, &regions);
+      table = patch ? configuration::Table::Patch(*table, c.body, &names, &regions)
+                    : configuration::Table::Build(adopts->config_text(), &names, &regions);
     });
     Expect(table && table->revision() == revision, "a table is not of the change");
   };
--- a/tests/indexed_document_test.cc
+++ b/tests/indexed_document_test.cc
@@ -86,11 +86,11 @@
     return text;
   }
   std::string Route(const std::string& label) {
-    std::string place = std::to_string(random_.Below(200));
+    std::string place = std::to_string(random_.Below(60));
     if (OneIn(40)) return Pick({R"({"host":"h"})", "7", R"({"label":7})", R"({"label":"r1"})"});
     return R"({"label":")" + label + R"(","host":")" + Pick({"h", "H", "a.b"}) + place +
-           R"(","path-prefix":")" + (OneIn(60) ? "/a" : "/a/") + R"(","variant":")" +
-           (OneIn(60) ? "perhaps" : "idempotent") + R"(","timeout-ms":)" +
+           R"(","path-prefix":")" + (OneIn(60) ? "/a" : Pick({"/a/", "/", "/a/b/"})) +
+           R"(","variant":")" + (OneIn(60) ? "perhaps" : "idempotent") + R"(","timeout-ms":)" +
            (OneIn(60) ? Pick({"0", "\"1\"", "1e99"}) : Pick({"5", "800", "1.5", "1e3"})) +
            Target() + Unknown() + "}";
   }
@@ -152,6 +152,30 @@
   base::Random random_;
 };
 
+// All that a table tells of the places that the writer writes, and of every service.
+std::string TableTells(const Table& table, const base::Names& names) {
+  std::string text = std::to_string(table.revision());
+  for (int place = 0; place < 60; ++place) {
+    for (const char* host : {"h", "a.b"}) {
+      for (const char* path : {"/a/b/c", "/a/", "/x"}) {
+        const Route* route = table.Match(host + std::to_string(place), path);
+        if (!route) continue;
+        text += "\n" + route->label + " " + route->host + route->prefix + " " +
+                std::to_string(route->timeout_ms) + " " + std::to_string(route->weight_sum);
+        for (const Target& target : route->targets) {
+          text += " " + names.Name(target.service) + "=" + std::to_string(target.weight);
+        }
+      }
+    }
+  }
+  for (uint32_t i = 0; i <= names.size(); ++i) {
+    if (const Service* service = table.service(i)) {
+      text += "\n" + service->label + " " + std::to_string(service->max_conns);
+    }
+  }
+  return text;
+}
+
 TEST(IndexedDocument, GivesTheTextAndVerdictsOfTheWholeWay) {
   int folded = 0, whole_way = 0;
   std::set<std::string> reasons;
@@ -159,6 +183,8 @@
     Writer writer(seed);
     FullRegister full;
     Register state;
+    base::Names names, regions;
+    std::shared_ptr<const Table> table;
     IndexedDocument follower;  // as a proxy's: takes what was accepted without a check
     for (int step = 0; step < 60; ++step) {
       bool patch = full.revision() > 0 ? !writer.OneIn(25) : writer.OneIn(10);
@@ -186,6 +212,19 @@
       } else {
         follower = IndexedDocument(text);
       }
+      // A table made of the one before is as one made of the whole, and leaves that one as it was.
+      auto whole = Table::Build(text, &names, &regions);
+      if (patch && table) {
+        std::string before = TableTells(*table, names);
+        auto next = Table::Patch(*table, change.body, &names, &regions);
+        ASSERT_TRUE(next);
+        ASSERT_EQ(TableTells(*next, names), TableTells(*whole, names)) << change.body;
+        ASSERT_EQ(TableTells(*table, names), before) << change.body;
+        ASSERT_LE(next->changed().size(), 5u);
+        table = next;
+      } else {
+        table = whole;
+      }
       full.Apply(std::move(text));
       ASSERT_EQ(state.text(), full.text()) << change.body;
       ASSERT_EQ(state.revision(), full.revision());
