Control: a change above 4 MB is answered 413; no frame is dropped without an event

Cause: control took bodies of 16 MB, a frame holds 8 MB, and Mesh::Send dropped larger ones without a word. A PUT of 9 MB was appended by the leader and never sent; every later change got 503.

Change: one limit, configuration::kMaxDocumentBytes (4 MB, half a frame). A body above it is answered 413 with the figure at the door, and so is a patch that would make a larger document, before anything is proposed. What was committed before is not judged by size when it is applied. Mesh::Send logs frame.dropped (peer, kind, bytes, why, and how many were not told) for a frame that is too large or meets a full queue, at most once a second.

Not covered: a body above 16 MB is still refused by the HTTP reader, with 413 but without the figure. frame.dropped has no test of its own.

The new tests were not run on the code of before.

--- a/src/configuration/operator_api.cc
+++ b/src/configuration/operator_api.cc
@@ -100,6 +100,11 @@
     Reply(job->ticket, 400, "If-Match: is missing or no number");
     return false;
   }
+  Register::Verdict size = Register::CheckSize(request.body.size());
+  if (size.status != 0) {
+    Reply(job->ticket, size.status, size.reason);
+    return false;
+  }
   job->change.body = request.body;
   return true;
 }
--- a/src/configuration/register.cc
+++ b/src/configuration/register.cc
@@ -49,11 +49,18 @@
   return text;
 }
 
+Register::Verdict Register::CheckSize(size_t bytes) {
+  if (bytes <= kMaxDocumentBytes) return {};
+  return {413, "the document has " + std::to_string(bytes) + " bytes, more than the " +
+                   std::to_string(kMaxDocumentBytes) + " that are taken"};
+}
+
 Register::Verdict Register::Judge(const Change& change) const {
   if (std::find(taken_.begin(), taken_.end(), change.Digest()) != taken_.end()) return {200, ""};
-  Verdict verdict;
-  Candidate(change, &verdict);
-  return verdict;
+  Verdict verdict = CheckSize(change.body.size());
+  if (verdict.status != 0) return verdict;
+  std::string text = Candidate(change, &verdict);
+  return verdict.status != 0 ? verdict : CheckSize(text.size());
 }
 
 bool Register::Apply(const Change& change) {
--- a/src/configuration/register.h
+++ b/src/configuration/register.h
@@ -7,9 +7,16 @@
 #include <vector>
 
 #include "configuration/document.h"
+#include "wire/frame.h"
 
 namespace elderkeel::configuration {
 
+// A change, and the document that it makes, are taken up to this size. What is taken is carried to
+// every controller and proxy, in one frame (wire::kMaxFrame) with room for what is added on the
+// way.
+constexpr size_t kMaxDocumentBytes = 4u << 20;
+static_assert(kMaxDocumentBytes <= wire::kMaxFrame / 2);
+
 // A change as the operator sent it: the whole of a configuration, or a patch.
 struct Change {
   bool patch = false;
@@ -33,6 +40,9 @@
     std::string reason;
   };
 
+  // 413 with the figure for what is larger than is taken.
+  static Verdict CheckSize(size_t bytes);
+  // Whether `change` may be proposed. What was committed is not refused for its size any more.
   Verdict Judge(const Change& change) const;
   // True if it took effect.
   bool Apply(const Change& change);
--- a/src/wire/mesh.cc
+++ b/src/wire/mesh.cc
@@ -20,6 +20,7 @@
 constexpr base::Millis kConnectMs = 700;
 constexpr base::Millis kRetryMs = 50;
 constexpr base::Millis kIdleMs = 20000;
+constexpr base::Millis kDropEventMs = 1000;
 constexpr size_t kMaxQueued = 8u << 20;
 constexpr size_t kMaxIncoming = 512;
 constexpr size_t kHeader = 9;  // length, check, kind
@@ -165,12 +166,31 @@
   return l;
 }
 
+// At most one event a second, which counts those between.
+bool Mesh::Drop(const base::Address& to, Kind kind, size_t bytes, const char* why) {
+  base::Millis now = base::SteadyMillis();
+  if (drop_told_ != 0 && now - drop_told_ < kDropEventMs) {
+    ++drops_untold_;
+    return false;
+  }
+  base::Warn("frame.dropped", {{"peer", to.ToString()},
+                               {"kind", static_cast<int>(kind)},
+                               {"bytes", bytes},
+                               {"why", why},
+                               {"untold", drops_untold_}});
+  drop_told_ = now;
+  drops_untold_ = 0;
+  return false;
+}
+
 bool Mesh::Send(const base::Address& to, Kind kind, std::string_view payload) {
-  if (payload.size() > kMaxFrame) return false;
+  if (payload.size() > kMaxFrame) return Drop(to, kind, payload.size(), "too large");
   Link* link = OpenLink(to);
   if (!link) return false;
   evbuffer* out = bufferevent_get_output(link->socket.get());
-  if (evbuffer_get_length(out) + payload.size() > kMaxQueued) return false;
+  if (evbuffer_get_length(out) + payload.size() > kMaxQueued) {
+    return Drop(to, kind, payload.size(), "the queue is full");
+  }
   std::string header;
   Put32(&header, static_cast<uint32_t>(payload.size()));
   Put32(&header, Check(kind, payload));
--- a/src/wire/mesh.h
+++ b/src/wire/mesh.h
@@ -24,7 +24,8 @@
   ~Mesh();
 
   base::Result<bool> Listen();
-  // False if the frame was dropped: the peer can't be reached or does not read.
+  // False if the frame was dropped: the peer can't be reached, does not read (an event, with what
+  // waits for it), or the frame is larger than kMaxFrame (an event).
   bool Send(const base::Address& to, Kind kind, std::string_view payload);
   bool SendDatagram(const base::Address& to, Kind kind, std::string_view payload);
 
@@ -44,6 +45,7 @@
   Link* OpenLink(const base::Address& to);
   void ReadDatagrams();
   bool ReadFrames(Incoming* in);
+  bool Drop(const base::Address& to, Kind kind, size_t bytes, const char* why);
 
   base::Loop* loop_;
   base::Address self_;
@@ -55,6 +57,8 @@
   std::map<base::Address, std::unique_ptr<Link>> links_;
   std::map<uint64_t, std::unique_ptr<Incoming>> incoming_;
   uint64_t next_id_ = 1;
+  base::Millis drop_told_ = 0;
+  uint64_t drops_untold_ = 0;
 };
 
 }  // namespace elderkeel::wire
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -243,6 +243,63 @@
   EXPECT_EQ(answers_[4].body, Document(2, kRoute));
 }
 
+// Of a whole document, and of what a patch would make; the next small one is taken.
+TEST_F(OperatorApiTest, RefusesWhatIsLargerThanReplicationCarries) {
+  const std::string figure = std::to_string(kMaxDocumentBytes);
+  auto padded = [](int revision, size_t bytes) {  // a valid document of that size
+    std::string text = Document(revision, kRoute);
+    return text + std::string(bytes - text.size(), ' ');
+  };
+  struct Case {
+    const char* method;
+    std::string body;
+    int status;
+  } cases[] = {
+      {"PUT", padded(9, 9u << 20), 413},
+      {"PUT", padded(9, kMaxDocumentBytes + 1), 413},
+      {"PATCH", padded(9, kMaxDocumentBytes + 1), 413},
+  };
+  uint64_t ticket = 1;
+  for (const Case& c : cases) {
+    api_.OnRequest(0, ++ticket, Call(c.method, "0", c.body));
+    ConfirmReads();
+    EXPECT_EQ(StatusOf(ticket), c.status);
+    EXPECT_NE(answers_[ticket].body.find(figure), std::string::npos) << answers_[ticket].body;
+  }
+  EXPECT_TRUE(log_.proposed_.empty());
+  // Two patches that are small enough each, and make a document that is not.
+  auto routes = [](int revision, int from) {
+    std::string text =
+        "{\"revision\":" + std::to_string(revision) + ",\"upsert\":{\"route-list\":[";
+    for (int i = from; i < from + 2400; ++i) {
+      text += (i > from ? "," : "") + std::string("{\"label\":\"r") + std::to_string(i) +
+              "\",\"host\":\"h.example\",\"path-prefix\":\"/" + std::to_string(i) + "/" +
+              std::string(1000, 'x') +
+              "/\",\"variant\":\"effectful\",\"timeout-ms\":900,\"target\":\"s1\"}";
+    }
+    return text + "]}}";
+  };
+  api_.OnRequest(0, 20, Call("PUT", "0", padded(2, 4000)));
+  ConfirmReads();
+  ASSERT_EQ(log_.proposed_.size(), 1u);
+  Commit(1);
+  api_.OnRequest(0, 21, Call("PATCH", "2", routes(3, 0)));
+  ConfirmReads();
+  ASSERT_EQ(log_.proposed_.size(), 2u) << answers_[21].body;
+  Commit(2);
+  EXPECT_EQ(StatusOf(21), 200);
+  api_.OnRequest(0, 22, Call("PATCH", "3", routes(4, 2400)));
+  ConfirmReads();
+  EXPECT_EQ(StatusOf(22), 413);
+  EXPECT_NE(answers_[22].body.find(figure), std::string::npos) << answers_[22].body;
+  EXPECT_EQ(log_.proposed_.size(), 2u);
+  api_.OnRequest(0, 23, Call("PUT", "3", Document(4, kRoute)));
+  ConfirmReads();
+  ASSERT_EQ(log_.proposed_.size(), 3u);
+  Commit(3);
+  EXPECT_EQ(StatusOf(23), 200);
+}
+
 TEST_F(OperatorApiTest, SendsCallersOnWhenItDoesNotLead) {
   struct Case {
     bool leading, settled;
--- a/tests/process_test.cc
+++ b/tests/process_test.cc
@@ -191,6 +191,10 @@
   for (int i = 0; i < kControllers; ++i) Start("controller", "c" + std::to_string(i), i, true);
   for (int i = 0; i < kProxies; ++i) Start("proxy", "p" + std::to_string(i), i, true);
   ASSERT_EQ(Operate("PUT", 0, Document(3, "/a/")).status, 200);
+  // A change that is larger than replication carries is refused, and stands in nobody's way.
+  wire::Message large = Operate("PUT", 3, Document(9, "/a/") + std::string(9u << 20, ' '));
+  EXPECT_EQ(large.status, 413);
+  EXPECT_NE(large.body.find(std::to_string(4u << 20)), std::string::npos) << large.body;
   for (int i = 0; i < kProxies; ++i) {
     EXPECT_TRUE(Eventually([&] { return Call(Ready(i), "GET", "/elderkeel/ready").status == 200; }))
         << i;
