--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -25,6 +25,7 @@
   if (term > term_) {
     term_ = term;
     heard_round_ = 0;
+    incoming_.reset();
     SetHardState(term, 0);
   }
   if (leader != leader_id_) out_.role_changed = true;
--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -260,6 +260,8 @@
       return OnAppendEntriesReply(now, m);
     case MessageType::kInstallSnapshot:
       return OnInstallSnapshot(now, m, from);
+    case MessageType::kInstallSnapshotReply:
+      return OnInstallSnapshotReply(now, m);
     case MessageType::kTimeoutNow:
       return OnTimeoutNow(now, m);
     case MessageType::kLostState:
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -103,18 +105,34 @@
   const std::vector<Entry>& log() const { return log_; }
 
  private:
+  // What was sent and not answered yet, counted towards the window.
+  struct Flight {
+    uint64_t round;
+    size_t bytes;
+    base::Millis at;
+  };
   struct Progress {
     Member member;
     Index match = 0;
     Index next = 1;
     base::Millis heard = 0;
-    base::Millis sent = 0;
     uint64_t round = 0;               // of its newest reply
     uint64_t acknowledged_round = 0;  // our newest when `match` last grew
     uint64_t rewound_round = 0;       // our newest when `next` last went back
-    bool lost_state = false;          // lacks what it had acknowledged: counts for nothing
+    std::deque<Flight> in_flight;
+    size_t window = 0;  // bytes that may be in flight
+    // The snapshot that is being sent, and how much of its state was. It stays the same to its end,
+    // whatever was compacted since.
+    std::shared_ptr<const Snapshot> sending;
+    size_t offset = 0;
+    bool lost_state = false;  // lacks what it had acknowledged: counts for nothing
     bool voter = false;
   };
+  // A snapshot of which not all parts have come; in memory only.
+  struct Incoming {
+    Term leader_term = 0;
+    Snapshot snapshot;
+  };
   struct PendingRead {
     uint64_t token;
     uint64_t round;
@@ -145,7 +163,11 @@
   Message Make(MessageType type, MemberId to) const;
 
   Index Append(EntryKind kind, std::string data);
-  void SendAppendEntries(base::Millis now, Progress* p);
+  // A heartbeat is sent in any case, otherwise only what is new and fits into the window.
+  void SendAppendEntries(base::Millis now, Progress* p, bool heartbeat);
+  void SendSnapshot(base::Millis now, Progress* p, bool heartbeat);
+  Progress* HeardMember(base::Millis now, const Message& m, bool* newest);
+  void Rewind(Progress* p);
   void Broadcast(base::Millis now);
   void AdvanceCommit(base::Millis now);
   void ApplyCommitted();
@@ -168,6 +190,9 @@
   void OnRejected(base::Millis now, const Message& m, bool newest, Progress* p);
   void OnLostState();
   void OnInstallSnapshot(base::Millis now, const Message& m, const base::Address& from);
+  void OnInstallSnapshotReply(base::Millis now, const Message& m);
+  void Install(Snapshot snapshot);
+  Index KeptFor(base::Millis now) const;
 
   std::string ZoneOf(const Member& member) const {
     auto at = zones_.find(member.ip);
@@ -185,6 +210,7 @@
   HardState hard_;
   Snapshot snapshot_;
   std::vector<Entry> log_;  // those after the snapshot
+  std::optional<Incoming> incoming_;
   std::vector<Member> founders_;
   std::vector<Member> voters_;
   Index commit_ = 0;
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -58,7 +58,7 @@
     // From here on only its own replies show that it is there: a wish may be passed on late.
     at->second.heard = now;
     at->second.next = last_index() + 1;
-    SendAppendEntries(now, &at->second);
+    SendAppendEntries(now, &at->second, true);
   }
 }
 
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -8,7 +8,10 @@
 namespace elderkeel::consensus {
 namespace {
 constexpr size_t kMaxBatch = 64;
-constexpr size_t kMaxBatchBytes = 1 << 20;
+// Bytes in flight to one member. On a slow link they are what a heartbeat waits behind.
+constexpr size_t kLeastWindow = 64u << 10;
+constexpr size_t kMostWindow = 256u << 10;
+constexpr size_t kEntryOverhead = 64;
 }  // namespace
 
 Index Machine::Append(EntryKind kind, std::string data) {
@@ -38,50 +41,76 @@
 
 void Machine::Broadcast(base::Millis now) {
   heartbeat_at_ = now + timing_.heartbeat;
-  for (auto& [id, p] : progress_) SendAppendEntries(now, &p);
+  for (auto& [id, p] : progress_) SendAppendEntries(now, &p, true);
 }
 
-void Machine::SendAppendEntries(base::Millis now, Progress* p) {
+void Machine::SendAppendEntries(base::Millis now, Progress* p, bool heartbeat) {
   if (p->lost_state) {
+    if (!heartbeat) return;
     Message m = Make(MessageType::kLostState, p->member.id);
     m.index = p->match;
     m.round = ++round_;
     Post(p->member.address(), std::move(m), false);
     return;
   }
-  // What was sent and not acknowledged for a while was lost with its connection.
-  if (p->next > p->match + 1 && now - p->sent > timing_.heartbeat * 4 &&
-      now - p->heard > timing_.heartbeat * 4) {
-    p->next = p->match + 1;
-  }
-  if (p->next <= snapshot_.index && At(p->next) == nullptr) {
-    Message m = Make(MessageType::kInstallSnapshot, p->member.id);
-    m.snapshot = {snapshot_};
-    m.round = ++round_;
-    m.commit = commit_;
-    p->next = snapshot_.index + 1;
-    p->sent = now;
-    Post(p->member.address(), std::move(m), false);
+  p->window = std::max(p->window, kLeastWindow);
+  Index previous = p->next - 1;
+  if (p->sending || (previous != snapshot_.index && !At(previous))) {
+    SendSnapshot(now, p, heartbeat);
     return;
   }
   Message m = Make(MessageType::kAppendEntries, p->member.id);
-  m.index = p->next - 1;
-  m.log_term = TermAt(m.index);
+  m.index = previous;
+  m.log_term = TermAt(previous);
   m.commit = commit_;
-  m.round = ++round_;
-  size_t bytes = 0;
+  size_t in_flight = 0, bytes = 0;
+  for (const Flight& flight : p->in_flight) in_flight += flight.bytes;
   for (Index i = p->next; i <= last_index() && m.entries.size() < kMaxBatch; ++i) {
     const Entry* entry = At(i);
     if (!entry) break;
-    if (!m.entries.empty() && bytes + entry->data.size() > kMaxBatchBytes) break;
-    bytes += entry->data.size();
+    // One that is larger than the window goes alone.
+    size_t size = entry->data.size() + kEntryOverhead;
+    if (in_flight + bytes > 0 && in_flight + bytes + size > p->window) break;
+    bytes += size;
     m.entries.push_back(*entry);
   }
-  if (!m.entries.empty()) p->sent = now;
+  if (m.entries.empty() && !heartbeat) return;
+  m.round = ++round_;
+  if (bytes > 0) p->in_flight.push_back({m.round, bytes, now});
   p->next += m.entries.size();
   Post(p->member.address(), std::move(m), false);
 }
 
+// The member that a reply is of, if it counts. What was sent up to the message that it answers is
+// no longer in flight; the window follows the time that took.
+Machine::Progress* Machine::HeardMember(base::Millis now, const Message& m, bool* newest) {
+  if (!leading()) return nullptr;
+  auto at = progress_.find(m.from);
+  if (at == progress_.end() || at->second.lost_state) return nullptr;
+  Progress& p = at->second;
+  p.heard = now;
+  *newest = m.round > p.round;
+  p.round = std::max(p.round, m.round);
+  while (!p.in_flight.empty() && p.in_flight.front().round <= m.round) {
+    const Flight& flight = p.in_flight.front();
+    base::Millis took = now - flight.at;
+    bool filled = flight.bytes * 2 >= p.window;
+    if (flight.round == m.round && filled && took <= timing_.heartbeat) {
+      p.window = std::min(p.window * 2, kMostWindow);
+    } else if (flight.round == m.round && took > timing_.heartbeat * 2) {
+      p.window = std::max(p.window / 2, kLeastWindow);
+    }
+    p.in_flight.pop_front();
+  }
+  return &p;
+}
+
+// Rejections of what was sent before are answered by what is sent from here on.
+void Machine::Rewind(Progress* p) {
+  p->rewound_round = round_;
+  p->in_flight.clear();
+}
+
 Index Machine::Synced(const Member& voter) const {
   if (voter.id == self_.id) return persisted_;
   auto at = progress_.find(voter.id);
@@ -145,6 +174,7 @@
 void Machine::CommitTo(Index index) {
   if (index <= commit_) return;
   commit_ = index;
+  if (incoming_ && incoming_->snapshot.index <= commit_) incoming_.reset();
   ApplyCommitted();
 }
 
@@ -209,27 +239,27 @@
 }
 
 void Machine::OnAppendEntriesReply(base::Millis now, const Message& m) {
-  if (!leading()) return;
-  auto at = progress_.find(m.from);
-  if (at == progress_.end()) return;
-  Progress& p = at->second;
-  if (p.lost_state) return;
-  p.heard = now;
-  bool newest = m.round > p.round;
-  p.round = std::max(p.round, m.round);
+  bool newest = false;
+  Progress* p = HeardMember(now, m, &newest);
+  if (!p) return;
   if (m.granted) {
-    if (m.index > p.match) {
-      p.match = std::min(m.index, last_index());
-      p.acknowledged_round = round_;
+    if (m.index > p->match) {
+      p->match = std::min(m.index, last_index());
+      p->acknowledged_round = round_;
+      p->next = std::max(p->next, p->match + 1);
+      if (p->sending && p->match >= p->sending->index) {
+        p->sending.reset();
+        p->in_flight.clear();
+      }
       AdvanceCommit(now);
       if (!leading()) return;
-      at = progress_.find(m.from);
+      auto at = progress_.find(m.from);
       if (at == progress_.end()) return;
+      p = &at->second;
     }
-    at->second.next = std::max(at->second.next, at->second.match + 1);
-    if (at->second.next <= last_index()) SendAppendEntries(now, &at->second);
+    SendAppendEntries(now, p, false);
   } else {
-    OnRejected(now, m, newest, &p);
+    OnRejected(now, m, newest, p);
   }
   AdvanceReads();
 }
@@ -242,11 +272,11 @@
     p->lost_state = true;
     p->round = 0;  // nor does it confirm reads
     out_.lost_state.push_back(p->member);
-    SendAppendEntries(now, p);
-  } else if (newest && m.round > p->rewound_round && m.index + 1 < p->next) {
+    SendAppendEntries(now, p, true);
+  } else if (!p->sending && newest && m.round > p->rewound_round && m.index + 1 < p->next) {
     p->next = m.index + 1;
-    p->rewound_round = round_;
-    SendAppendEntries(now, p);
+    Rewind(p);
+    SendAppendEntries(now, p, true);
   }
 }
 
--- a/src/consensus/snapshot.cc
+++ b/src/consensus/snapshot.cc
@@ -7,27 +7,111 @@
 namespace elderkeel::consensus {
 namespace {
 constexpr Index kTail = 32;  // entries kept behind a snapshot, for members that are a little late
+constexpr size_t kChunk = 64u << 10;
+constexpr uint64_t kMaxState = 32u << 20;  // of a snapshot that is taken in
+constexpr size_t kMaxKeptEntries = 512;    // for members that are being caught up
+constexpr size_t kMaxKeptBytes = 4u << 20;
 }  // namespace
 
+// Parts of the snapshot as far as the window reaches. A heartbeat is a part without bytes, placed
+// after what was sent: the member says if anything before it is missing.
+void Machine::SendSnapshot(base::Millis now, Progress* p, bool heartbeat) {
+  if (p->sending && p->sending->index != snapshot_.index &&
+      !HeardWithin(now, p->member.id, timing_.election * 2)) {
+    p->sending.reset();  // nothing is kept for one that is silent: the newest serves it best
+  }
+  if (!p->sending) {
+    for (const auto& [id, other] : progress_) {
+      if (other.sending && other.sending->index == snapshot_.index) p->sending = other.sending;
+    }
+    if (!p->sending) p->sending = std::make_shared<const Snapshot>(snapshot_);
+    p->offset = 0;
+    p->in_flight.clear();
+  }
+  const Snapshot& snapshot = *p->sending;
+  size_t in_flight = 0;
+  for (const Flight& flight : p->in_flight) in_flight += flight.bytes;
+  for (;;) {
+    size_t size = std::min(kChunk, snapshot.state.size() - p->offset);
+    if (in_flight > 0 && in_flight + size > p->window) size = 0;
+    if (size == 0 && !heartbeat) return;
+    Message m = Make(MessageType::kInstallSnapshot, p->member.id);
+    m.round = ++round_;
+    m.commit = commit_;
+    m.offset = p->offset;
+    m.total = snapshot.state.size();
+    m.snapshot = {
+        {snapshot.index, snapshot.term, snapshot.voters, snapshot.state.substr(p->offset, size)}};
+    if (size > 0) p->in_flight.push_back({m.round, size, now});
+    in_flight += size;
+    p->offset += size;
+    heartbeat = false;
+    Post(p->member.address(), std::move(m), false);
+  }
+}
+
+void Machine::OnInstallSnapshotReply(base::Millis now, const Message& m) {
+  bool newest = false;
+  Progress* p = HeardMember(now, m, &newest);
+  if (!p) return;
+  if (p->sending && m.index == p->sending->index && m.offset <= p->sending->state.size()) {
+    if (m.granted) {
+      p->offset = std::max<size_t>(p->offset, m.offset);
+    } else if (newest && m.round > p->rewound_round) {
+      p->offset = m.offset;
+      Rewind(p);
+    }
+    SendAppendEntries(now, p, false);
+  }
+  AdvanceReads();
+}
+
+void Machine::Install(Snapshot snapshot) {
+  snapshot_ = std::move(snapshot);
+  log_.clear();
+  commit_ = applied_ = persisted_ = snapshot_.index;
+  Persist& write = Write();
+  write.entries.clear();
+  write.truncate_from = 1;
+  write.snapshot = {snapshot_};
+  write_last_.clear();
+  RefreshVoters();
+  out_.committed.clear();
+  out_.installed.push_back(snapshot_);
+}
+
 void Machine::OnInstallSnapshot(base::Millis now, const Message& m, const base::Address& from) {
   if (m.snapshot.empty()) return;
   HeardLeader(now, m, from);
-  const Snapshot& snapshot = m.snapshot[0];
-  if (snapshot.index > commit_ && At(snapshot.index) && TermAt(snapshot.index) == snapshot.term) {
+  const Snapshot& part = m.snapshot[0];
+  if (part.index > commit_ && At(part.index) && TermAt(part.index) == part.term) {
     // The log leads to the same state, and what it holds after that may have been acknowledged.
-    CommitTo(snapshot.index);
-  } else if (snapshot.index > commit_) {
-    snapshot_ = snapshot;
-    log_.clear();
-    commit_ = applied_ = persisted_ = snapshot_.index;
-    Persist& write = Write();
-    write.entries.clear();
-    write.truncate_from = 1;
-    write.snapshot = {snapshot_};
-    write_last_.clear();
-    RefreshVoters();
-    out_.committed.clear();
-    out_.installed.push_back(snapshot_);
+    CommitTo(part.index);
+  }
+  if (part.index > commit_) {
+    bool under_way = incoming_ && incoming_->leader_term == m.term;
+    if (under_way && incoming_->snapshot.index > part.index) return;  // of an older one
+    if (m.total > kMaxState || m.offset + part.state.size() > m.total) return;
+    if (!under_way || incoming_->snapshot.index < part.index) {
+      incoming_ = Incoming{m.term, {part.index, part.term, part.voters, ""}};
+    }
+    std::string& state = incoming_->snapshot.state;
+    bool fits = m.offset <= state.size();
+    if (fits && m.offset + part.state.size() > state.size()) {
+      state.append(part.state, state.size() - m.offset);
+    }
+    if (!fits || state.size() < m.total) {
+      Message reply = Make(MessageType::kInstallSnapshotReply, m.from);
+      reply.granted = fits;
+      reply.index = part.index;
+      reply.offset = state.size();
+      reply.round = m.round;
+      Post(from, std::move(reply), true);
+      return;
+    }
+    Snapshot whole = std::move(incoming_->snapshot);
+    incoming_.reset();
+    Install(std::move(whole));
   }
   Message reply = Make(MessageType::kAppendEntriesReply, m.from);
   reply.granted = true;
@@ -36,8 +120,26 @@
   Post(from, std::move(reply), true);
 }
 
+// The entry up to which nobody who is being caught up needs the log. A member that got a snapshot
+// goes on with the entries after it; if they were gone it would need the next one, and never end.
+Index Machine::KeptFor(base::Millis now) const {
+  Index kept = last_index();
+  for (const auto& [id, p] : progress_) {
+    if (!HeardWithin(now, id, timing_.election * 2)) continue;
+    Index from = p.sending ? p.sending->index : p.match;
+    if (At(from)) kept = std::min(kept, from - 1);  // itself too: its term is what they fit by
+  }
+  size_t bytes = 0;
+  for (const Entry& entry : log_) bytes += entry.index > kept ? entry.data.size() : 0;
+  bool much = bytes > kMaxKeptBytes || last_index() - kept > kMaxKeptEntries;
+  return much ? last_index() : kept;
+}
+
 void Machine::Compact(Index index, std::string state) {
   if (index <= snapshot_.index || index > applied_) return;
+  Index tail = index > kTail ? index - kTail : 0;
+  Index drop_to = std::min(tail, KeptFor(now_));
+  if (drop_to < tail && (log_.empty() || drop_to < log_.front().index)) return;  // not now
   Snapshot snapshot;
   snapshot.index = index;
   snapshot.term = TermAt(index);
@@ -49,7 +151,6 @@
   }
   snapshot.state = std::move(state);
   snapshot_ = std::move(snapshot);
-  Index drop_to = index > kTail ? index - kTail : 0;
   log_.erase(
       std::remove_if(log_.begin(), log_.end(), [&](const Entry& e) { return e.index <= drop_to; }),
       log_.end());
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -76,7 +76,8 @@
   kAppendEntriesReply,
   kInstallSnapshot,
   kTimeoutNow,
-  kLostState,  // to a member that no longer holds what it had acknowledged
+  kInstallSnapshotReply,  // how much of it has come; the last part is answered as entries are
+  kLostState,             // to a member that no longer holds what it had acknowledged
 };
 
 struct Message {
@@ -93,10 +94,13 @@
   uint64_t round = 0;
   bool granted = false;
   std::vector<Entry> entries;
-  std::vector<Snapshot> snapshot;  // none or one
+  std::vector<Snapshot> snapshot;  // none or one, with a part of its state
+  uint64_t offset = 0;             // where that part begins; in a reply, how much has come
+  uint64_t total = 0;              // bytes of the whole state
   template <class A>
   void serialize(A& a) {
-    a(type, cluster, from, to, term, index, log_term, commit, round, granted, entries, snapshot);
+    a(type, cluster, from, to, term, index, log_term, commit, round, granted, entries, snapshot,
+      offset, total);
   }
 };
 
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -137,6 +137,7 @@
   for (MemberId k = 1; k <= 3; ++k) snapshot.voters.push_back(Founder(k));
   snapshot.state = "state at " + std::to_string(index);
   m.snapshot = {snapshot};
+  m.total = snapshot.state.size();
   m.commit = index;
   m.round = round;
   return m;
@@ -374,6 +375,25 @@
   }
 }
 
+// Of several messages under way the first is lost, and the others are rejected: all of it is sent
+// again once, not once for each rejection.
+TEST(Leader, AnswersOneLossOnce) {
+  Leader leader;
+  std::vector<Message> rejected;
+  Index before = leader.machine->last_index();
+  for (const char* text : {"x", "y", "z"}) {
+    rejected.push_back(*To(leader.Propose(text), 2));
+    EXPECT_EQ(rejected.back().entries.size(), 1u);
+  }
+  std::vector<Message> again = leader.Receive(leader.now, Reply(rejected[1], false, before));
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].index, before);
+  EXPECT_EQ(again[0].entries.size(), 3u);
+  EXPECT_TRUE(leader.Receive(leader.now, Reply(rejected[2], false, before)).empty());
+  leader.Receive(leader.now, Reply(again[0], true, before + 3));
+  EXPECT_EQ(leader.machine->commit(), before + 3);
+}
+
 // A voter whose log went back behind what it had acknowledged is named, told, and counts neither
 // for commits nor for the quorum that keeps a leader.
 TEST(Leader, CountsNoVoterThatLostWhatItAcknowledged) {
@@ -550,5 +570,198 @@
   EXPECT_GE(LastOf(cluster.nodes[slot]->disk), acknowledged);
 }
 
+// Three members, of which one was away while the log went on and was cut. All that the leaders send
+// it goes over links of 2 Mbit/s.
+struct SlowMember : Cluster {
+  static constexpr double kRate = 250;  // bytes in a millisecond
+  static constexpr size_t kState = 4u << 20;
+
+  explicit SlowMember(size_t state_bytes = kState) : state(state_bytes, 's') {
+    Run(2000);
+    lead = leader();
+    slow = lead->machine->self().id == 3 ? 2 : 3;
+    for (MemberId id = 1; id <= 3; ++id) links[{id, slow}].bytes_per_ms = kRate;
+    loses = [this](const Message& m) { return away && (m.to == slow || m.from == slow); };
+    heard = [this](const Message& m) {
+      bool leads = m.type == MessageType::kAppendEntries || m.type == MessageType::kInstallSnapshot;
+      if (m.to != slow || away || !leads) return;
+      gap = std::max(gap, now - heard_at);
+      heard_at = now;
+      stood |= Of(slow)->machine->role() != Role::kFollower;
+    };
+  }
+  void Away(bool gone) {
+    away = gone;
+    heard_at = now;
+  }
+  // A change at the leader, and the cut of every log that grew long.
+  void Change(size_t bytes) {
+    lead = leader();
+    if (!lead) return;
+    lead->machine->Propose(now, std::string(bytes, 'c'));
+    Send(lead->Take(now));
+    for (auto& node : nodes) {
+      if (node && node->machine->self().id != slow && node->machine->log_size() > 96) Cut(*node);
+    }
+  }
+  void Cut(Node& node) {
+    node.machine->Compact(node.machine->commit(), state);
+    Send(node.Take(now));
+  }
+  bool CaughtUp() { return Of(slow)->machine->commit() == leader()->machine->commit(); }
+  // How long that takes, with a change every so often.
+  Millis Catch(Millis patience, Millis every = 0) {
+    Millis begun = now;
+    for (Millis k = 0; now - begun < patience; k += 10) {
+      if (every && k % every == 0) Change(100);
+      Run(10);
+      if (leader() && CaughtUp() && Of(slow)->machine->commit() > 2) break;
+    }
+    return now - begun;
+  }
+  size_t Sent() {
+    size_t sent = 0;
+    for (MemberId id = 1; id <= 3; ++id) sent += links[{id, slow}].sent;
+    return sent;
+  }
+
+  std::string state;
+  Node* lead = nullptr;
+  MemberId slow = 0;
+  bool away = false;
+  Millis heard_at = 0, gap = 0;
+  bool stood = false;
+};
+
+TEST(SlowLink, ASnapshotOf4MegabytesLeavesRoomForHeartbeats) {
+  struct Case {
+    const char* name;
+    Millis changes;  // every so often; 0 for none
+    bool breaks;     // the connection is lost midway, and with it what is under way
+  } cases[] = {{"alone", 0, false}, {"during changes", 200, false}, {"broken midway", 300, true}};
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    SlowMember world;
+    world.Away(true);
+    for (int k = 0; k < 120; ++k) {
+      world.Change(100);
+      world.Run(10);
+    }
+    world.Run(1000);
+    world.Cut(*world.lead);
+    world.Away(false);
+    size_t before = world.Sent();
+    Millis took = 0;
+    if (c.breaks) {
+      took += world.Catch(8000, c.changes);
+      EXPECT_EQ(took, 8000);
+      world.links[{world.lead->machine->self().id, world.slow}].Break();
+      world.away = true;
+      world.Run(300);
+      world.away = false;
+    }
+    took += world.Catch(30000, c.changes);
+    EXPECT_LT(took, 20000);  // 16.8 s for the bytes alone
+    EXPECT_LT(world.gap, 600) << "between two messages of the leader";
+    EXPECT_FALSE(world.stood);
+    EXPECT_LT(world.Sent() - before, world.kState + world.kState / 20 + (128u << 10));
+    EXPECT_LT(world.links[std::make_pair(world.lead->machine->self().id, world.slow)].most_queued,
+              160u << 10);
+    EXPECT_EQ(world.leader(), world.lead);
+    ASSERT_GE(world.Of(world.slow)->installed.size(), 2u);  // the founders', and one more
+    EXPECT_EQ(world.Of(world.slow)->installed.size(), 2u);
+    EXPECT_EQ(world.Of(world.slow)->installed.back().state, world.state);
+  }
+}
+
+TEST(SlowLink, ANewLeaderSendsItsOwnSnapshotAfterHalfOfTheFormerOnes) {
+  SlowMember world(1u << 20);
+  world.Away(true);
+  for (int k = 0; k < 120; ++k) {
+    world.Change(100);
+    world.Run(10);
+  }
+  world.Run(1000);
+  for (auto& node : world.nodes) {
+    if (node->machine->self().id != world.slow) world.Cut(*node);
+  }
+  world.Away(false);
+  EXPECT_EQ(world.Catch(2000), 2000);
+  world.nodes[world.lead->machine->self().id - 1].reset();
+  // It settles once the slow one, of whom it needs a majority, has the snapshot: 4.2 s for the
+  // bytes.
+  Millis killed = world.now;
+  for (int k = 0; k < 1000 && !world.leader(); ++k) world.Run(10);
+  ASSERT_NE(world.leader(), nullptr);
+  world.Catch(5000);
+  EXPECT_TRUE(world.CaughtUp());
+  EXPECT_LT(world.now - killed, 8000);
+  EXPECT_EQ(world.Of(world.slow)->installed.back().state, world.state);
+}
+
+TEST(SlowLink, EntriesGoOnceAndInBoundedParts) {
+  SlowMember world;
+  world.Away(true);
+  for (int k = 0; k < 60; ++k) {
+    world.Change(20000);
+    world.Run(10);
+  }
+  world.Run(1000);
+  world.Away(false);
+  size_t before = world.Sent();
+  EXPECT_LT(world.Catch(20000), 7000);  // 4.8 s for the bytes alone
+  EXPECT_LT(world.gap, 600);
+  EXPECT_FALSE(world.stood);
+  EXPECT_LT(world.Sent() - before, 60 * 20000 * 11 / 10 + (64u << 10));
+  EXPECT_LT(world.links[std::make_pair(world.lead->machine->self().id, world.slow)].most_queued,
+            160u << 10);
+  EXPECT_TRUE(world.lead->lost.empty());
+}
+
+// Parts that come late, twice or after a newer snapshot make no other state.
+TEST(InstallSnapshot, IsMadeOfItsOwnPartsOnly) {
+  auto part = [](Index index, uint64_t offset, const std::string& bytes, uint64_t round) {
+    Message m = SnapshotUpTo(2, 2, index, round);
+    m.snapshot[0].state = bytes;
+    m.offset = offset;
+    m.total = 6;
+    return m;
+  };
+  Node node(2);
+  uint64_t round = 0;
+  struct Case {
+    const char* name;
+    Message message;
+    int granted;  // -1: no answer
+    uint64_t offset;
+  } cases[] = {
+      {"not the first part", part(50, 3, "def", ++round), 0, 0},
+      {"the first part", part(50, 0, "abc", ++round), 1, 3},
+      {"the same again", part(50, 0, "abc", round), 1, 3},
+      {"a gap", part(50, 4, "ef", ++round), 0, 3},
+      {"more than the whole", part(50, 3, "defg", ++round), -1, 0},
+      {"a newer snapshot", part(60, 0, "AB", ++round), 1, 2},
+      {"a late part of the older one", part(50, 3, "def", 2), -1, 0},
+      {"a part that overlaps", part(60, 0, "ABCD", ++round), 1, 4},
+      {"a heartbeat", part(60, 4, "", ++round), 1, 4},
+  };
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    std::vector<Message> replies = node.Receive(10, c.message);
+    ASSERT_EQ(replies.size(), c.granted < 0 ? 0u : 1u);
+    if (replies.empty()) continue;
+    EXPECT_EQ(replies[0].type, MessageType::kInstallSnapshotReply);
+    EXPECT_EQ(replies[0].granted, c.granted == 1);
+    EXPECT_EQ(replies[0].offset, c.offset);
+    EXPECT_EQ(node.machine->commit(), 1u);
+  }
+  std::vector<Message> replies = node.Receive(20, part(60, 4, "EF", ++round));
+  ASSERT_EQ(replies.size(), 1u);
+  EXPECT_EQ(replies[0].type, MessageType::kAppendEntriesReply);
+  EXPECT_EQ(replies[0].index, 60u);
+  EXPECT_EQ(node.installed.back().state, "ABCDEF");
+  EXPECT_EQ(node.disk.snapshot.state, "ABCDEF");
+}
+
 }  // namespace
 }  // namespace elderkeel::consensus
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -671,6 +671,8 @@
     Node& n = *nodes_[i];
     for (;;) {
       consensus::Machine::Effects e = n.machine->Take();
+      // No disk here goes back behind what was synced, so nobody may be accused of it.
+      if (!e.lost_state.empty() || e.discard_store) Fail(n.address.ip + " tells of lost state");
       if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty())
         break;
       for (auto& write : e.writes)
