--- a/src/configuration/indexed_document.cc
+++ b/src/configuration/indexed_document.cc
@@ -231,6 +231,9 @@
 
 void IndexedDocument::Apply(const Fold& fold) {
   Index& index = Indexed();
+  constexpr size_t kRevision = 20;  // digits that a number has at most
+  most_ = SizeAtMost() + kRevision;
+  for (const Fold::Step& step : fold.steps) most_ += step.item.size() + 1;
   auto relate = [&](const std::string& text, int64_t by) {
     Document route;
     ReadObject(text, &route);
--- a/src/configuration/indexed_document.h
+++ b/src/configuration/indexed_document.h
@@ -30,12 +30,15 @@
   IndexedDocument& operator=(IndexedDocument other) {
     text_ = std::move(other.text_);
     index_ = std::move(other.index_);
+    most_ = other.most_;
     return *this;
   }
 
   bool empty() const { return text_.empty() && !(index_ && index_->covers); }
   // Written anew after a patch, when it is next asked for.
   const std::string& text() const;
+  // Bytes that the text has at most, without writing it.
+  size_t SizeAtMost() const { return text_.empty() ? most_ : text_.size(); }
   bool HasService(const std::string& label) const;
   std::vector<std::string> RouteLabels() const;
 
@@ -106,6 +109,7 @@
 
   mutable std::string text_;  // empty if it must be written from the index
   mutable std::unique_ptr<Index> index_;
+  size_t most_ = 0;  // bytes that the text has at most while it isn't written
 };
 
 }  // namespace elderkeel::configuration
--- a/src/configuration/register.cc
+++ b/src/configuration/register.cc
@@ -65,6 +65,12 @@
   return candidate;
 }
 
+Register::Verdict Register::CheckSize(size_t bytes) {
+  if (bytes <= kMaxDocumentBytes) return {};
+  return {413, "the document has " + std::to_string(bytes) + " bytes, more than the " +
+                   std::to_string(kMaxDocumentBytes) + " that are taken"};
+}
+
 Register::Verdict Register::Judge(const Change& change) const {
   auto at =
       std::lower_bound(taken_.begin(), taken_.end(), change.if_match,
@@ -72,11 +78,20 @@
   if (at != taken_.end() && at->if_match == change.if_match && at->identity == change.Identify()) {
     return {200, ""};
   }
-  Verdict verdict;
+  Verdict verdict = CheckSize(change.body.size());
+  if (verdict.status != 0) return verdict;
   Candidate candidate = Consider(change, &verdict);
   if (verdict.status == 412 && change.if_match < known_from_) {
     return {503, "so old a change may be one that was taken"};
   }
+  if (verdict.status != 0) return verdict;
+  if (candidate.fold) {
+    // Only near the bound must the document be written to know its size.
+    bool near = text_.SizeAtMost() + change.body.size() > kMaxDocumentBytes;
+    if (near) verdict = CheckSize(ApplyPatch(text(), change.body).text.size());
+  } else {
+    verdict = CheckSize(candidate.text.size());
+  }
   if (verdict.status == 0 && !change.patch) judged_ = Judged{candidate.revision, change};
   return verdict;
 }
--- a/src/configuration/register.h
+++ b/src/configuration/register.h
@@ -11,9 +11,16 @@
 
 #include "configuration/document.h"
 #include "configuration/indexed_document.h"
+#include "wire/frame.h"
 
 namespace elderkeel::configuration {
 
+// A change, and the document that it makes, are taken up to this size. What is taken is carried to
+// every controller and proxy, in one frame (wire::kMaxFrame) with room for what is added on the
+// way.
+constexpr size_t kMaxDocumentBytes = 4u << 20;
+static_assert(kMaxDocumentBytes <= wire::kMaxFrame / 2);
+
 // A change as the operator sent it: the whole of a configuration, or a patch.
 struct Change {
   bool patch = false;
@@ -46,6 +53,9 @@
   // So many changes are told again, the newest; of older ones none is refused as stale.
   static constexpr size_t kTaken = 4096;
 
+  // 413 with the figure for what is larger than is taken.
+  static Verdict CheckSize(size_t bytes);
+  // Whether `change` may be proposed. What was committed is not refused for its size any more.
   Verdict Judge(const Change& change) const;
   // True if it took effect.
   bool Apply(const Change& change);
--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -58,7 +58,7 @@
     // From here on only its own replies show that it is there: a wish may be passed on late.
     at->second.heard = now;
     at->second.next = last_index() + 1;
-    SendAppendEntries(now, &at->second);
+    SendAppendEntries(now, &at->second, true);
   }
 }
 
@@ -87,8 +87,8 @@
     if (v.id == id) continue;
     ++others;
     auto at = progress_.find(v.id);
-    bool live = HeardWithin(now, v.id, timing_.election) &&
-                (at == progress_.end() || !Leaving(at->second));
+    bool live =
+        HeardWithin(now, v.id, timing_.election) && (at == progress_.end() || !Leaving(at->second));
     heard += live;
     copies += live && Synced(v) >= commit_;
   }
--- a/src/consensus/snapshot.cc
+++ b/src/consensus/snapshot.cc
@@ -10,27 +10,111 @@
 constexpr size_t kCompactAfterBytes = 1 << 20;  // after the snapshot, or twice its own if more
 constexpr Index kTail = 32;  // entries kept behind a snapshot, for members that are a little late
 constexpr size_t kTailBytes = 1 << 20;  // of these, or as many as the snapshot has if more
+constexpr size_t kChunk = 64u << 10;
+constexpr uint64_t kMaxState = 32u << 20;  // of a snapshot that is taken in
+constexpr size_t kMaxKeptEntries = 512;    // for members that are being caught up
+constexpr size_t kMaxKeptBytes = 4u << 20;
 }  // namespace
 
+// Parts of the snapshot as far as the window reaches. A heartbeat is a part without bytes, placed
+// after what was sent: the member says if anything before it is missing.
+void Machine::SendSnapshot(base::Millis now, Progress* p, bool heartbeat) {
+  if (p->sending && p->sending->index != snapshot_.index &&
+      !HeardWithin(now, p->member.id, timing_.election * 2)) {
+    p->sending.reset();  // nothing is kept for one that is silent: the newest serves it best
+  }
+  if (!p->sending) {
+    for (const auto& [id, other] : progress_) {
+      if (other.sending && other.sending->index == snapshot_.index) p->sending = other.sending;
+    }
+    if (!p->sending) p->sending = std::make_shared<const Snapshot>(snapshot_);
+    p->offset = 0;
+    p->in_flight.clear();
+  }
+  const Snapshot& snapshot = *p->sending;
+  size_t in_flight = 0;
+  for (const Flight& flight : p->in_flight) in_flight += flight.bytes;
+  for (;;) {
+    size_t size = std::min(kChunk, snapshot.state.size() - p->offset);
+    if (in_flight > 0 && in_flight + size > p->window) size = 0;
+    if (size == 0 && !heartbeat) return;
+    Message m = Make(MessageType::kInstallSnapshot, p->member.id);
+    m.round = ++round_;
+    m.commit = commit_;
+    m.offset = p->offset;
+    m.total = snapshot.state.size();
+    m.snapshot = {
+        {snapshot.index, snapshot.term, snapshot.voters, snapshot.state.substr(p->offset, size)}};
+    if (size > 0) p->in_flight.push_back({m.round, size, now});
+    in_flight += size;
+    p->offset += size;
+    heartbeat = false;
+    Post(p->member.address(), std::move(m), false);
+  }
+}
+
+void Machine::OnInstallSnapshotReply(base::Millis now, const Message& m) {
+  bool newest = false;
+  Progress* p = HeardMember(now, m, &newest);
+  if (!p) return;
+  if (p->sending && m.index == p->sending->index && m.offset <= p->sending->state.size()) {
+    if (m.granted) {
+      p->offset = std::max<size_t>(p->offset, m.offset);
+    } else if (newest && m.round > p->rewound_round) {
+      p->offset = m.offset;
+      Rewind(p);
+    }
+    SendAppendEntries(now, p, false);
+  }
+  AdvanceReads();
+}
+
+void Machine::Install(Snapshot snapshot) {
+  snapshot_ = std::move(snapshot);
+  log_.clear();
+  commit_ = applied_ = persisted_ = snapshot_.index;
+  Persist& write = Write();
+  write.entries.clear();
+  write.truncate_from = 1;
+  write.snapshot = {snapshot_};
+  write_last_.clear();
+  RefreshVoters();
+  out_.committed.clear();
+  out_.installed.push_back(snapshot_);
+}
+
 void Machine::OnInstallSnapshot(base::Millis now, const Message& m, const base::Address& from) {
   if (m.snapshot.empty()) return;
   HeardLeader(now, m, from);
-  const Snapshot& snapshot = m.snapshot[0];
-  if (snapshot.index > commit_ && At(snapshot.index) && TermAt(snapshot.index) == snapshot.term) {
+  const Snapshot& part = m.snapshot[0];
+  if (part.index > commit_ && At(part.index) && TermAt(part.index) == part.term) {
     // The log leads to the same state, and what it holds after that may have been acknowledged.
-    CommitTo(snapshot.index);
-  } else if (snapshot.index > commit_) {
-    snapshot_ = snapshot;
-    log_.clear();
-    commit_ = applied_ = persisted_ = snapshot_.index;
-    Persist& write = Write();
-    write.entries.clear();
-    write.truncate_from = 1;
-    write.snapshot = {snapshot_};
-    write_last_.clear();
-    RefreshVoters();
-    out_.committed.clear();
-    out_.installed.push_back(snapshot_);
+    CommitTo(part.index);
+  }
+  if (part.index > commit_) {
+    bool under_way = incoming_ && incoming_->leader_term == m.term;
+    if (under_way && incoming_->snapshot.index > part.index) return;  // of an older one
+    if (m.total > kMaxState || m.offset + part.state.size() > m.total) return;
+    if (!under_way || incoming_->snapshot.index < part.index) {
+      incoming_ = Incoming{m.term, {part.index, part.term, part.voters, ""}};
+    }
+    std::string& state = incoming_->snapshot.state;
+    bool fits = m.offset <= state.size();
+    if (fits && m.offset + part.state.size() > state.size()) {
+      state.append(part.state, state.size() - m.offset);
+    }
+    if (!fits || state.size() < m.total) {
+      Message reply = Make(MessageType::kInstallSnapshotReply, m.from);
+      reply.granted = fits;
+      reply.index = part.index;
+      reply.offset = state.size();
+      reply.round = m.round;
+      Post(from, std::move(reply), true);
+      return;
+    }
+    Snapshot whole = std::move(incoming_->snapshot);
+    incoming_.reset();
+    Install(std::move(whole));
   }
   Message reply = Make(MessageType::kAppendEntriesReply, m.from);
   reply.granted = true;
@@ -46,16 +130,51 @@
 }
 
 bool Machine::CompactionDue() const {
-  if (log_.size() > kCompactAfter) return true;
   size_t bytes = 0;
   for (const Entry& entry : log_) {
     if (entry.index > snapshot_.index && entry.index <= applied_) bytes += entry.data.size();
   }
-  return bytes > std::max(kCompactAfterBytes, 2 * snapshot_.state.size());
+  bool due = log_.size() > kCompactAfter ||
+             bytes > std::max(kCompactAfterBytes, 2 * snapshot_.state.size());
+  return due && DropTo(applied_, snapshot_.state.size()).has_value();
+}
+
+// The entry up to which nobody who is being caught up needs the log. A member that got a snapshot
+// goes on with the entries after it; if they were gone it would need the next one, and never end.
+Index Machine::KeptFor(base::Millis now) const {
+  Index kept = last_index();
+  for (const auto& [id, p] : progress_) {
+    if (!HeardWithin(now, id, timing_.election * 2)) continue;
+    Index from = p.sending ? p.sending->index : p.match;
+    if (At(from)) kept = std::min(kept, from - 1);  // itself too: its term is what they fit by
+  }
+  size_t bytes = 0;
+  for (const Entry& entry : log_) bytes += entry.index > kept ? entry.data.size() : 0;
+  bool much = bytes > kMaxKeptBytes || last_index() - kept > kMaxKeptEntries;
+  return much ? last_index() : kept;
+}
+
+// Up to which entry the log is cut by a snapshot up to `index` with so many bytes; none if all is
+// still needed.
+std::optional<Index> Machine::DropTo(Index index, size_t state_bytes) const {
+  // Whoever is later than the tail gets the snapshot, so a tail that is larger saves nothing.
+  size_t tail_bytes = std::max(kTailBytes, state_bytes);
+  Index tail = index;
+  for (auto at = log_.rbegin(); at != log_.rend() && tail + kTail > index; ++at) {
+    if (at->index > index) continue;
+    if (at->data.size() > tail_bytes) break;
+    tail_bytes -= at->data.size();
+    tail = at->index - 1;
+  }
+  Index drop_to = std::min(tail, KeptFor(now_));
+  if (drop_to < tail && (log_.empty() || drop_to < log_.front().index)) return std::nullopt;
+  return drop_to;
 }
 
 void Machine::Compact(Index index, std::string state) {
   if (index <= snapshot_.index || index > applied_) return;
+  std::optional<Index> drop_to = DropTo(index, state.size());
+  if (!drop_to) return;
   Snapshot snapshot;
   snapshot.index = index;
   snapshot.term = TermAt(index);
@@ -67,21 +186,12 @@
   }
   snapshot.state = std::move(state);
   snapshot_ = std::move(snapshot);
-  // Whoever is later than the tail gets the snapshot, so a tail that is larger saves nothing.
-  size_t tail_bytes = std::max(kTailBytes, snapshot_.state.size());
-  Index drop_to = index;
-  for (auto at = log_.rbegin(); at != log_.rend() && drop_to + kTail > index; ++at) {
-    if (at->index > index) continue;
-    if (at->data.size() > tail_bytes) break;
-    tail_bytes -= at->data.size();
-    drop_to = at->index - 1;
-  }
   log_.erase(
-      std::remove_if(log_.begin(), log_.end(), [&](const Entry& e) { return e.index <= drop_to; }),
+      std::remove_if(log_.begin(), log_.end(), [&](const Entry& e) { return e.index <= *drop_to; }),
       log_.end());
   Persist& write = Write();
   write.snapshot = {snapshot_};
-  write.drop_to = drop_to;
+  write.drop_to = *drop_to;
 }
 
 }  // namespace elderkeel::consensus
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -767,6 +767,8 @@
     Node& n = *nodes_[i];
     for (;;) {
       consensus::Machine::Effects e = n.machine->Take();
+      // No disk here goes back behind what was synced, so nobody may be accused of it.
+      if (!e.lost_state.empty() || e.discard_store) Fail(n.address.ip + " tells of lost state");
       if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty() &&
           e.reads_ready.empty() && e.reads_failed.empty() && !e.role_changed) {
         break;
