Consensus: a model checker over the real machine, its disks and messages

Change: tests/model_checker.h takes members with their disks (synced state and outstanding writes) and the multiset of messages under way as states; steps deliver, lose, double and so reorder messages, tick, finish or refuse writes, crash with any of the oldest unsynced writes kept, wipe, restart, join, hand over, cut, propose and compact, within budgets. In machine.h only a friend that reads.

Checked in each state: election safety, leader append-only, log matching, leader completeness, state machine safety, no acknowledged entry missing, enough synced copies, voter sets meet, persistent promises, a readable log.

Left out: exact times, reads, files of a disk one by one.

Open: StoreThread goes on with what is queued behind a refused write.

--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -101,6 +101,8 @@
   const std::vector<Entry>& log() const { return log_; }
 
  private:
+  friend struct MachineProbe;  // reads all state, for the model checker; new state goes there too
+
   struct Progress {
     Member member;
     Index match = 0;
--- /dev/null
+++ b/tests/model_checker.h
@@ -0,0 +1,1083 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "base/random.h"
+#include "consensus/machine.h"
+#include "wire/frame.h"
+
+namespace elderkeel::model {
+
+using base::Millis;
+using consensus::Entry;
+using consensus::Index;
+using consensus::Machine;
+using consensus::Member;
+using consensus::MemberId;
+using consensus::Message;
+using consensus::MessageType;
+using consensus::Persist;
+using consensus::Restored;
+using consensus::Snapshot;
+using consensus::Term;
+
+// An order-dependent digest of 64 bits. With ten million states the chance that any two different
+// ones share a digest, and one of them is passed over, is about three in a million.
+class Digest {
+ public:
+  template <class T>
+  Digest& Add(const T& value) {
+    if constexpr (std::is_convertible_v<T, std::string>) {
+      return Mix(base::Hash(value));
+    } else {
+      return Mix(static_cast<uint64_t>(value));
+    }
+  }
+  template <class T, class... More>
+  Digest& Add(const T& value, const More&... more) {
+    Add(value);
+    return Add(more...);
+  }
+  uint64_t value() const { return value_; }
+
+ private:
+  Digest& Mix(uint64_t v) {
+    value_ = base::Random(value_ + v * 0xd1342543de82ef95ull).Next();
+    return *this;
+  }
+  uint64_t value_ = 0x2545f4914f6cdd1dull;
+};
+
+inline uint64_t DigestOf(const Entry& e) {
+  return Digest().Add(e.term, e.index, e.kind, e.data).value();
+}
+inline void AddTo(Digest* d, const std::vector<Entry>& entries) {
+  d->Add(entries.size());
+  for (const Entry& e : entries) d->Add(DigestOf(e));
+}
+inline void AddTo(Digest* d, const std::vector<Member>& members) {
+  d->Add(members.size());
+  for (const Member& m : members) d->Add(m.id);
+}
+inline void AddTo(Digest* d, const Snapshot& s) {
+  d->Add(s.index, s.term, s.state);
+  AddTo(d, s.voters);
+}
+inline void AddTo(Digest* d, const consensus::HardState& h) {
+  d->Add(h.cluster, h.self, h.term, h.voted_for);
+}
+inline uint64_t DigestOf(const Message& m) {
+  Digest d;
+  d.Add(m.type, m.cluster, m.from, m.to, m.term, m.index, m.log_term, m.commit, m.round, m.granted);
+  AddTo(&d, m.entries);
+  for (const Snapshot& s : m.snapshot) AddTo(&d, s);
+  return d.value();
+}
+inline void AddTo(Digest* d, const Persist& w) {
+  d->Add(w.hard_changed, w.commit, w.truncate_from, w.drop_to, w.snapshot.size());
+  if (w.hard_changed) AddTo(d, w.hard);
+  AddTo(d, w.entries);
+  for (const Snapshot& s : w.snapshot) AddTo(d, s);
+}
+
+}  // namespace elderkeel::model
+
+namespace elderkeel::consensus {
+
+// What the checker reads of a machine and nobody else may.
+struct MachineProbe {
+  static const HardState& hard(const Machine& m) { return m.hard_; }
+  static const Snapshot& snapshot(const Machine& m) { return m.snapshot_; }
+  static base::Millis election_at(const Machine& m) { return m.election_at_; }
+  static base::Millis heartbeat_at(const Machine& m) { return m.heartbeat_at_; }
+
+  // Everything that the machine's behaviour depends on, with these abstractions: of times only what
+  // the code compares them with (a leader is heard or not, a member silent so long or not, a disk
+  // stuck or not); the state of the random generator isn't told apart, since a tick goes to the
+  // time-out whatever was drawn; numbers of writes are counted from the last finished one. Rounds
+  // are taken as they are, though only their order matters. Reads aren't walked.
+  static uint64_t DigestOf(const Machine& m, base::Millis now) {
+    model::Digest d;
+    d.Add(m.self_.id, m.role_, m.term_, m.commit_, m.applied_, m.commit_told_, m.persisted_,
+          m.broken_, m.fresh_, m.leader_id_, m.write_sequence_ - m.written_, m.disk_stuck(now),
+          m.round_, m.heard_round_, m.pre_vote_round_);
+    model::AddTo(&d, m.hard_);
+    model::AddTo(&d, m.snapshot_);
+    model::AddTo(&d, m.log_);
+    model::AddTo(&d, m.voters_);
+    d.Add(m.write_last_.size());
+    for (const auto& [sequence, last] : m.write_last_) d.Add(sequence - m.written_, last);
+    d.Add(m.held_.size());
+    for (const auto& held : m.held_) {
+      d.Add(held.after - m.written_, model::DigestOf(held.out.message));
+    }
+    d.Add(m.leader_id_ != 0 && now - m.leader_heard_ < m.timing_.election);
+    d.Add(m.leader_id_ != 0 && now - m.leader_heard_ > m.timing_.election * 2);
+    if (m.role_ == Role::kPreCandidate || m.role_ == Role::kCandidate) {
+      d.Add(m.votes_.size());
+      for (MemberId id : m.votes_) d.Add(id);
+    }
+    if (m.role_ == Role::kLeader) {
+      d.Add((now - m.quorum_since_) / m.timing_.heartbeat, m.progress_.size());
+      for (const auto& [id, p] : m.progress_) {
+        base::Millis silent = now - p.heard;
+        d.Add(id, p.match, p.next, p.round, p.voter,
+              silent<m.timing_.election,
+                     silent<m.timing_.election * 2, silent> m.timing_.replace_after, silent>
+                      m.timing_.replace_after *
+                  2,
+              silent > m.timing_.forget_after, silent > m.timing_.heartbeat * 4,
+              now - p.sent > m.timing_.heartbeat * 4);
+      }
+    }
+    return d.value();
+  }
+};
+
+}  // namespace elderkeel::consensus
+
+namespace elderkeel::model {
+
+using consensus::MachineProbe;
+
+enum class StepKind : uint8_t {
+  kDeliver,    // the nth message under way from one node to another
+  kDrop,       // the same one is lost
+  kDuplicate,  // the same one arrives and is still under way
+  kTick,       // a node's clock goes to its next time-out
+  kSleep,      // a node was frozen for ten seconds
+  kPersist,    // the oldest write of a node is on its disk
+  kRefuse,     // the oldest write of a node is refused by its disk
+  kCrash,      // a node ends; of its writes the n oldest are on its disk
+  kRestart,    // a node starts from its disk; one without a disk under a new identity
+  kWipe,       // a node ends and its disk is gone
+  kJoin,       // a node asks a leader to be taken in
+  kTransfer,   // a leader hands over
+  kCut,        // all under way between two nodes is lost, and what they send from now on
+  kHeal,       // no more
+  kPropose,    // a command at a leader
+  kCompact,    // a node replaces its log by a snapshot, up to what it applied
+};
+constexpr size_t kStepKinds = static_cast<size_t>(StepKind::kCompact) + 1;
+constexpr const char* kStepNames[kStepKinds] = {
+    "deliver", "drop", "duplicate", "tick",     "sleep", "persist", "refuse",  "crash",
+    "restart", "wipe", "join",      "transfer", "cut",   "heal",    "propose", "compact"};
+
+// Nodes are counted from 1, as founders' ids are.
+struct Step {
+  StepKind kind;
+  int node = 0;   // that it happens at; of a message: the sender
+  int other = 0;  // of a message: the receiver; of a join: the leader
+  int nth = 0;    // of the messages between the two, in the order they were sent; of a crash: kept
+};
+
+using Budget = std::array<int, kStepKinds>;  // steps of each kind that are left; below 0: no bound
+
+struct Options {
+  int founders = 3;
+  int spares = 0;  // nodes that aren't started at first
+  consensus::Tolerance tolerance;
+  int zones = 3;
+  bool instant_disk = false;  // writes are done at once, for bounds that look elsewhere
+  bool writes_past_refusal =
+      false;                      // the store goes on with what was queued behind a refused write
+  std::set<std::string> ignored;  // invariants that aren't checked, to see what else would notice
+  consensus::Timing timing = ShortTiming();
+
+  // So that one unanswered heartbeat makes a voter silent enough to be replaced, and two to be
+  // forgotten: the checker needs the decision and not the wait.
+  static consensus::Timing ShortTiming() {
+    consensus::Timing t;
+    t.heartbeat = 500;
+    t.election = 600;
+    t.replace_after = 400;
+    t.forget_after = 900;
+    t.disk_patience = 60000;
+    return t;
+  }
+};
+
+// One member with its disk. Never changed once it is part of a state: steps copy it first.
+struct Node {
+  bool up = false;
+  int lives = 0, wipes = 0;
+  Millis now = 1000;
+  Restored disk;                // what is synced
+  std::vector<Persist> writes;  // outstanding, oldest first
+  std::optional<Machine> machine;
+  uint64_t chain = 0;  // digest of all that was applied
+  // The furthest that it told the leader of a term it holds.
+  Term promised_in = 0;
+  Index promised = 0;
+  Term promised_term = 0;  // of the entry there
+  uint64_t digest = 0;
+
+  bool leading() const { return up && machine->leading(); }
+};
+
+struct Sent {
+  int from = 0, to = 0;
+  std::shared_ptr<const Message> message;
+  uint64_t digest = 0;
+};
+
+// What the invariants remember.
+struct History {
+  struct Acknowledged {
+    Term term = 0;  // of the entry
+    uint64_t digest = 0;
+    Term in = 0;  // of the leader that committed it
+    size_t copies = 0;
+  };
+  std::map<Term, MemberId> leaders;
+  std::map<Index, Acknowledged> acknowledged;
+  std::map<Index, uint64_t> chains;               // what applying up to there gives
+  std::vector<std::shared_ptr<const Node>> lost;  // as they were when their disks went
+};
+
+struct State {
+  std::vector<std::shared_ptr<const Node>> nodes;
+  std::vector<Sent> network;
+  std::set<std::pair<int, int>> cuts;
+  std::shared_ptr<const History> history = std::make_shared<History>();
+  Budget budget{};
+  int proposals = 0;
+
+  uint64_t DigestValue() const {
+    Digest d;
+    for (const auto& n : nodes) d.Add(n->digest);
+    uint64_t messages = 0;  // a multiset: the order of sending tells nothing
+    for (const Sent& m : network) messages += Digest().Add(m.digest, m.from, m.to).value();
+    d.Add(messages, network.size(), proposals);
+    for (const auto& [a, b] : cuts) d.Add(a, b);
+    for (int left : budget) d.Add(left);
+    for (const auto& [term, id] : history->leaders) d.Add(term, id);
+    d.Add(history->acknowledged.size(), history->lost.size());
+    for (const auto& [index, a] : history->acknowledged) d.Add(index, a.digest, a.in, a.copies);
+    return d.value();
+  }
+};
+
+inline bool MajoritiesMeet(const std::vector<Member>& a, const std::vector<Member>& b) {
+  size_t common = 0;
+  for (const Member& m : a) common += std::count(b.begin(), b.end(), m);
+  auto forced = [&](size_t size) {  // members of both that a majority can't do without
+    size_t majority = size / 2 + 1, own = size - common;
+    return majority > own ? majority - own : 0;
+  };
+  return forced(a.size()) + forced(b.size()) > common;
+}
+
+// The disk's log as the store would read it.
+inline const Entry* EntryAt(const std::vector<Entry>& log, Index index) {
+  if (log.empty() || index < log.front().index || index > log.back().index) return nullptr;
+  return &log[index - log.front().index];
+}
+inline bool Holds(const Restored& disk, Index index, Term term) {
+  if (disk.empty) return false;
+  if (index <= disk.snapshot.index) return true;
+  const Entry* e = EntryAt(disk.entries, index);
+  return e && e->term == term;
+}
+inline void Store(Restored* disk, const Persist& write) {
+  disk->empty = false;
+  if (write.hard_changed) disk->hard = write.hard;
+  if (!write.snapshot.empty()) disk->snapshot = write.snapshot[0];
+  auto& log = disk->entries;
+  auto drop = [&](auto gone) {
+    log.erase(std::remove_if(log.begin(), log.end(), gone), log.end());
+  };
+  if (write.drop_to) drop([&](const Entry& e) { return e.index <= write.drop_to; });
+  if (write.truncate_from) drop([&](const Entry& e) { return e.index >= write.truncate_from; });
+  for (const Entry& entry : write.entries) {  // by key, as the store does
+    auto at = std::lower_bound(log.begin(), log.end(), entry.index,
+                               [](const Entry& e, Index index) { return e.index < index; });
+    if (at != log.end() && at->index == entry.index) {
+      *at = entry;
+    } else {
+      log.insert(at, entry);
+    }
+  }
+  if (write.commit) disk->commit = write.commit;
+}
+
+// The real machines, their disks and what is under way between them, as states and steps.
+class Model {
+ public:
+  explicit Model(Options options) : options_(std::move(options)) {
+    for (int i = 0; i < options_.founders; ++i) founders_.push_back(MemberOf(i, 0));
+  }
+
+  State Initial() {
+    State s;
+    s.nodes.resize(static_cast<size_t>(options_.founders + options_.spares));
+    for (size_t i = 0; i < s.nodes.size(); ++i) {
+      auto node = std::make_shared<Node>();
+      s.nodes[i] = node;
+      if (static_cast<int>(i) < options_.founders) Begin(&s, static_cast<int>(i), node.get(), true);
+      Seal(node.get());
+    }
+    return s;
+  }
+
+  // All that may happen next and is within the budget.
+  std::vector<Step> Steps(const State& s) const {
+    std::vector<Step> steps;
+    auto may = [&](StepKind kind) { return s.budget[static_cast<size_t>(kind)] != 0; };
+    int size = static_cast<int>(s.nodes.size());
+    std::set<std::tuple<int, int, uint64_t>> seen;
+    std::map<std::pair<int, int>, int> count;
+    for (const Sent& m : s.network) {
+      int nth = count[{m.from, m.to}]++;
+      if (!seen.insert({m.from, m.to, m.digest}).second) continue;
+      bool arrives = s.nodes[static_cast<size_t>(m.to - 1)]->up;
+      if (arrives) steps.push_back({StepKind::kDeliver, m.from, m.to, nth});
+      if (may(StepKind::kDrop)) steps.push_back({StepKind::kDrop, m.from, m.to, nth});
+      if (arrives && may(StepKind::kDuplicate)) {
+        steps.push_back({StepKind::kDuplicate, m.from, m.to, nth});
+      }
+    }
+    for (int i = 1; i <= size; ++i) {
+      const Node& n = *s.nodes[static_cast<size_t>(i - 1)];
+      auto add = [&](StepKind kind, int other = 0, int nth = 0) {
+        if (may(kind)) steps.push_back({kind, i, other, nth});
+      };
+      if (!n.up) {
+        add(StepKind::kRestart);
+        continue;
+      }
+      if (!n.writes.empty()) {
+        steps.push_back({StepKind::kPersist, i, 0, 0});
+        add(StepKind::kRefuse);
+      }
+      add(StepKind::kTick);
+      add(StepKind::kSleep);
+      for (int kept = 0; kept <= static_cast<int>(n.writes.size()); ++kept) {
+        add(StepKind::kCrash, 0, kept);
+      }
+      add(StepKind::kWipe);
+      if (n.machine->settled()) add(StepKind::kPropose);
+      if (n.machine->leading()) add(StepKind::kTransfer);
+      if (n.machine->commit() > n.machine->snapshot_index() && !n.machine->broken()) {
+        add(StepKind::kCompact);
+      }
+      for (int k = 1; k <= size; ++k) {
+        const Node& other = *s.nodes[static_cast<size_t>(k - 1)];
+        if (k != i && other.leading() && !n.machine->IsVoter(n.machine->self().id)) {
+          add(StepKind::kJoin, k);
+        }
+        if (k <= i) continue;
+        add(s.cuts.count({i, k}) ? StepKind::kHeal : StepKind::kCut, k);
+      }
+    }
+    return steps;
+  }
+
+  // False if the step can't be taken in this state. `fault` tells of a broken invariant.
+  bool Apply(State* s, const Step& step, std::string* fault) {
+    fault_ = fault;
+    int i = step.kind == StepKind::kDeliver || step.kind == StepKind::kDuplicate ? step.other
+                                                                                 : step.node;
+    if (i < 1 || i > static_cast<int>(s->nodes.size())) return false;
+    size_t at = static_cast<size_t>(i - 1);
+    std::shared_ptr<const Node> before = s->nodes[at];
+    if (step.kind == StepKind::kCut || step.kind == StepKind::kHeal) {
+      std::pair<int, int> pair{std::min(step.node, step.other), std::max(step.node, step.other)};
+      if (step.kind == StepKind::kHeal) return s->cuts.erase(pair) > 0;
+      s->network.erase(std::remove_if(s->network.begin(), s->network.end(),
+                                      [&](const Sent& m) {
+                                        return std::minmax(m.from, m.to) ==
+                                               std::minmax(pair.first, pair.second);
+                                      }),
+                       s->network.end());
+      return s->cuts.insert(pair).second;
+    }
+    std::shared_ptr<const Message> message;
+    if (step.kind <= StepKind::kDuplicate) {
+      int nth = 0;
+      auto found = std::find_if(s->network.begin(), s->network.end(), [&](const Sent& m) {
+        return m.from == step.node && m.to == step.other && nth++ == step.nth;
+      });
+      if (found == s->network.end()) return false;
+      if (step.kind != StepKind::kDrop && !before->up) return false;
+      message = found->message;
+      if (step.kind != StepKind::kDuplicate) s->network.erase(found);
+      if (step.kind == StepKind::kDrop) return true;
+    }
+    if (step.kind == StepKind::kRestart ? before->up : !before->up) return false;
+    auto node = std::make_shared<Node>(*before);
+    Node& n = *node;
+    s->nodes[at] = node;
+    switch (step.kind) {
+      case StepKind::kDeliver:
+      case StepKind::kDuplicate:
+        n.machine->Receive(n.now, *message, AddressOf(step.node - 1));
+        break;
+      case StepKind::kTick: {
+        bool leading = n.machine->leading();
+        Millis until = leading ? MachineProbe::heartbeat_at(*n.machine)
+                               : MachineProbe::election_at(*n.machine);
+        // In strides that aren't taken for a sleep.
+        do {
+          n.now = std::min(std::max(n.now, until), n.now + options_.timing.election / 2);
+          n.machine->Tick(n.now);
+          Pump(s, i, &n);
+        } while (n.now < until && n.machine->leading() == leading);
+        break;
+      }
+      case StepKind::kSleep:
+        n.now += 10000;
+        n.machine->Tick(n.now);
+        break;
+      case StepKind::kPersist:
+      case StepKind::kRefuse: {
+        if (n.writes.empty()) return false;
+        Persist write = std::move(n.writes.front());
+        n.writes.erase(n.writes.begin());
+        bool ok = step.kind == StepKind::kPersist;
+        if (ok) Store(&n.disk, write);
+        if (!ok && !options_.writes_past_refusal) n.writes.clear();
+        n.machine->Persisted(n.now, write.sequence, ok);
+        break;
+      }
+      case StepKind::kCrash:
+        if (step.nth > static_cast<int>(n.writes.size())) return false;
+        for (int k = 0; k < step.nth; ++k) Store(&n.disk, n.writes[static_cast<size_t>(k)]);
+        End(&n);
+        break;
+      case StepKind::kRestart:
+        Begin(s, i - 1, &n, false);
+        break;
+      case StepKind::kWipe: {
+        auto history = std::make_shared<History>(*s->history);
+        history->lost.push_back(before);
+        s->history = history;
+        End(&n);
+        n.disk = Restored();
+        n.promised_in = n.promised = n.promised_term = 0;
+        ++n.wipes;
+        break;
+      }
+      case StepKind::kJoin: {
+        // Asked by one node, it happens at another.
+        s->nodes[at] = before;
+        size_t leader = static_cast<size_t>(step.other - 1);
+        if (leader >= s->nodes.size() || !s->nodes[leader]->leading()) return false;
+        Member member = before->machine->self();
+        before = s->nodes[leader];
+        auto joined = std::make_shared<Node>(*before);
+        s->nodes[leader] = joined;
+        joined->machine->Join(joined->now, member);
+        Pump(s, step.other, joined.get());
+        Seal(joined.get());
+        Check(*s, step.other, *before, *joined);
+        return true;
+      }
+      case StepKind::kTransfer:
+        if (!n.machine->leading()) return false;
+        n.machine->TransferLeadership(n.now);
+        break;
+      case StepKind::kPropose:
+        if (!n.machine->Propose(n.now, "c" + std::to_string(s->proposals + 1))) return false;
+        ++s->proposals;
+        break;
+      case StepKind::kCompact:
+        if (n.machine->broken() || n.machine->commit() <= n.machine->snapshot_index()) return false;
+        n.machine->Compact(n.machine->commit(), std::to_string(n.chain));
+        break;
+      default:
+        return false;
+    }
+    if (n.up) Pump(s, i, &n);
+    Seal(&n);
+    Remember(s, i, *before, n);
+    Check(*s, i, *before, n);
+    return true;
+  }
+
+  // What a step is about, for a trace; told of the state that it is taken in.
+  std::string Describe(const State& s, const Step& step) const {
+    std::string text = kStepNames[static_cast<size_t>(step.kind)];
+    text += " " + std::to_string(step.node);
+    if (step.kind <= StepKind::kDuplicate) {
+      text += ">" + std::to_string(step.other) + " #" + std::to_string(step.nth);
+      int nth = 0;
+      for (const Sent& m : s.network) {
+        if (m.from != step.node || m.to != step.other || nth++ != step.nth) continue;
+        static const char* const kNames[] = {
+            "PreVote",       "PreVoteReply",       "RequestVote",     "RequestVoteReply",
+            "AppendEntries", "AppendEntriesReply", "InstallSnapshot", "TimeoutNow"};
+        const Message& b = *m.message;
+        text += std::string(" ") + kNames[static_cast<size_t>(b.type)] +
+                " term=" + std::to_string(b.term) + " index=" + std::to_string(b.index) +
+                " log_term=" + std::to_string(b.log_term) + " commit=" + std::to_string(b.commit) +
+                (b.granted ? " granted" : "") + " to=" + std::to_string(b.to);
+        for (const Entry& e : b.entries) {
+          text += " [" + std::to_string(e.index) + "@" + std::to_string(e.term) +
+                  (e.kind == consensus::EntryKind::kVoters ? " voters]" : "]");
+        }
+        for (const Snapshot& b2 : b.snapshot) {
+          text += " snapshot=" + std::to_string(b2.index) + "@" + std::to_string(b2.term);
+        }
+      }
+    } else if (step.other) {
+      text += " with " + std::to_string(step.other);
+    } else if (step.kind == StepKind::kCrash) {
+      text += " keeps " + std::to_string(step.nth) + " of " +
+              std::to_string(s.nodes[static_cast<size_t>(step.node - 1)]->writes.size());
+    }
+    return text;
+  }
+
+  const Options& options() const { return options_; }
+
+ private:
+  base::Address AddressOf(int i) const { return {"10.0.0." + std::to_string(i + 1), 7200}; }
+  std::string ZoneOf(int i) const {
+    return std::string(1, static_cast<char>('a' + i % options_.zones));
+  }
+  Member MemberOf(int i, int wipes) const {
+    Member m;
+    m.id = static_cast<MemberId>(i + 1 + 10 * wipes);
+    m.ip = AddressOf(i).ip;
+    m.port = 7200;
+    m.zone = ZoneOf(i);
+    return m;
+  }
+
+  void Begin(State* s, int i, Node* n, bool founding) {
+    const auto& log = n->disk.entries;
+    for (size_t k = 0; k + 1 < log.size(); ++k) {
+      if (log[k].index + 1 != log[k + 1].index) Fault("readable log", i + 1, "has a gap");
+    }
+    if (!log.empty() && log.front().index > n->disk.snapshot.index + 1) {
+      Fault("readable log", i + 1, "begins after its snapshot");
+    }
+    Machine::Options o;
+    o.self = MemberOf(i, n->wipes);
+    o.timing = options_.timing;
+    o.tolerance = options_.tolerance;
+    o.seed = static_cast<uint64_t>(1 + i * 100 + n->lives);
+    if (founding) {
+      o.founders = founders_;
+      o.cluster = 77;
+    }
+    n->up = true;
+    ++n->lives;
+    n->chain = 0;
+    n->machine.emplace(o, n->disk, n->now);
+    for (int k = 0; k < options_.founders + options_.spares; ++k) {
+      n->machine->NoteZone(AddressOf(k).ip, ZoneOf(k));
+    }
+    Pump(s, i + 1, n);
+  }
+  void End(Node* n) {
+    n->up = false;
+    n->writes.clear();
+    n->machine.reset();
+    n->chain = 0;
+  }
+
+  void Pump(State* s, int i, Node* n) {
+    for (;;) {
+      Machine::Effects effects = n->machine->Take();
+      bool any = !effects.messages.empty() || !effects.writes.empty() ||
+                 !effects.committed.empty() || !effects.installed.empty() || effects.role_changed;
+      if (!any) {
+        if (!options_.instant_disk || n->writes.empty()) return;
+        Persist write = std::move(n->writes.front());
+        n->writes.erase(n->writes.begin());
+        Store(&n->disk, write);
+        n->machine->Persisted(n->now, write.sequence, true);
+        continue;
+      }
+      for (Persist& write : effects.writes) n->writes.push_back(std::move(write));
+      for (auto& out : effects.messages) Send(s, i, n, std::move(out));
+      for (const Snapshot& snapshot : effects.installed) {
+        n->chain = snapshot.state.empty() ? 0 : std::stoull(snapshot.state);
+        Applied(s, i, snapshot.index, n->chain);
+      }
+      for (const Entry& entry : effects.committed) {
+        n->chain = Digest().Add(n->chain, DigestOf(entry)).value();
+        Applied(s, i, entry.index, n->chain);
+      }
+    }
+  }
+
+  // State machine safety: whoever applies up to an index has applied the same.
+  void Applied(State* s, int i, Index index, uint64_t chain) {
+    auto at = s->history->chains.find(index);
+    if (at != s->history->chains.end()) {
+      if (at->second != chain) {
+        Fault("state machine safety", i, "applied something else at " + std::to_string(index));
+      }
+      return;
+    }
+    auto history = std::make_shared<History>(*s->history);
+    history->chains[index] = chain;
+    s->history = history;
+  }
+
+  void Send(State* s, int i, Node* n, Machine::Outgoing out) {
+    const Message& m = out.message;
+    const consensus::HardState& hard = n->disk.hard;
+    // Persistent promises: what others will count on is on the disk when it is told.
+    if (m.type == MessageType::kRequestVote ||
+        (m.type == MessageType::kRequestVoteReply && m.granted)) {
+      MemberId vote = m.type == MessageType::kRequestVote ? m.from : m.to;
+      if (n->disk.empty || hard.term < m.term || (hard.term == m.term && hard.voted_for != vote)) {
+        Fault("persistent promise", i, "told a vote that isn't on its disk");
+      }
+    }
+    if (m.type == MessageType::kAppendEntriesReply && m.granted) {
+      if (n->disk.empty || hard.term < m.term) {
+        Fault("persistent promise", i, "answered in a term that isn't on its disk");
+      }
+      // A reply held back may speak of a term that has passed; then nobody counts on it any more.
+      if (m.term == n->machine->term() && m.index > 0) {
+        const Entry* e = EntryAt(n->machine->log(), m.index);
+        Term term = e ? e->term : 0;
+        bool known = e || m.index <= n->machine->snapshot_index();
+        if (!known || !Holds(n->disk, m.index, term)) {
+          Fault("persistent promise", i,
+                "told that it holds " + std::to_string(m.index) + ", which isn't on its disk");
+        }
+        if (n->promised_in != m.term || m.index > n->promised) {
+          n->promised_in = m.term;
+          n->promised = m.index;
+          n->promised_term = term;
+        }
+      }
+    }
+    int to = 0;
+    for (int k = 0; k < static_cast<int>(s->nodes.size()); ++k) {
+      if (AddressOf(k) == out.to) to = k + 1;
+    }
+    if (to == 0 || s->cuts.count(std::minmax(i, to))) return;
+    auto message = std::make_shared<const Message>(std::move(out.message));
+    uint64_t digest = DigestOf(*message);
+    s->network.push_back({i, to, std::move(message), digest});
+  }
+
+  void Seal(Node* n) {
+    Digest d;
+    d.Add(n->up, n->wipes, n->chain, n->promised_in, n->promised, n->promised_term, n->disk.empty,
+          n->disk.commit);
+    AddTo(&d, n->disk.hard);
+    AddTo(&d, n->disk.snapshot);
+    AddTo(&d, n->disk.entries);
+    d.Add(n->writes.size());
+    for (const Persist& write : n->writes) AddTo(&d, write);
+    if (n->up) d.Add(MachineProbe::DigestOf(*n->machine, n->now));
+    n->digest = d.value();
+  }
+
+  // The disks, lost ones included, that hold an entry; of those voters only, if given.
+  size_t Copies(const State& s, Index index, Term term, const std::vector<Member>* voters) const {
+    std::set<MemberId> holders;
+    auto count = [&](const Node& n) {
+      MemberId id = n.disk.hard.self;
+      bool votes = !voters || std::any_of(voters->begin(), voters->end(),
+                                          [&](const Member& v) { return v.id == id; });
+      if (votes && Holds(n.disk, index, term)) holders.insert(id);
+    };
+    for (const auto& n : s.nodes) count(*n);
+    for (const auto& n : s.history->lost) count(*n);
+    return holders.size();
+  }
+
+  // What a step added to what must never be taken back.
+  void Remember(State* s, int i, const Node& before, const Node& n) {
+    bool led = before.leading() && n.up && before.machine->term() == n.machine->term();
+    if (!n.leading() && !led) return;
+    Term term = n.machine->term();
+    auto history = std::make_shared<History>(*s->history);
+    if (n.leading()) {
+      auto [at, first] = history->leaders.try_emplace(term, n.machine->self().id);
+      if (!first && at->second != n.machine->self().id) {
+        Fault("election safety", i,
+              "leads term " + std::to_string(term) + ", which " + std::to_string(at->second) +
+                  " led");
+      }
+    }
+    Index from = before.up ? before.machine->commit() : n.machine->commit();
+    for (Index index = from + 1; index <= n.machine->commit(); ++index) {
+      const Entry* e = EntryAt(n.machine->log(), index);
+      if (!e) continue;
+      const auto& voters = n.machine->voters();
+      size_t copies = Copies(*s, index, e->term, &voters);
+      size_t wanted =
+          std::max(voters.size() / 2 + 1, std::min(options_.tolerance.machines + 1, voters.size()));
+      if (copies < wanted) {
+        Fault("enough synced copies", i,
+              "acknowledged " + std::to_string(index) + " on " + std::to_string(copies) +
+                  " disks of " + std::to_string(wanted));
+      }
+      History::Acknowledged a{e->term, DigestOf(*e), term, Copies(*s, index, e->term, nullptr)};
+      auto [at, first] = history->acknowledged.try_emplace(index, a);
+      if (!first && at->second.digest != a.digest) {
+        Fault("no acknowledged entry missing", i,
+              "acknowledged another entry at " + std::to_string(index));
+      }
+    }
+    s->history = history;
+  }
+
+  void Check(const State& s, int i, const Node& before, const Node& n) {
+    // What it promised the leader of a term stays on its disk as long as it knows no later term.
+    if (!n.disk.empty && n.promised && n.promised_in == n.disk.hard.term &&
+        !Holds(n.disk, n.promised, n.promised_term)) {
+      Fault("persistent promise", i,
+            "lost " + std::to_string(n.promised) + ", which it told that it holds");
+    }
+    for (const auto& [index, a] : s.history->acknowledged) {
+      if (Copies(s, index, a.term, nullptr) < a.copies) {
+        Fault("no acknowledged entry missing", i,
+              "took a copy of " + std::to_string(index) + " from its disk");
+      }
+    }
+    if (!n.up) return;
+    const auto& log = n.machine->log();
+    if (before.leading() && n.leading() && before.machine->term() == n.machine->term()) {
+      for (const Entry& e : before.machine->log()) {
+        const Entry* now = EntryAt(log, e.index);
+        if (e.index > n.machine->last_index() || (now && DigestOf(*now) != DigestOf(e)) ||
+            (!now && e.index > n.machine->snapshot_index())) {
+          Fault("leader append-only", i, "as leader changed " + std::to_string(e.index));
+        }
+      }
+    }
+    for (size_t k = 0; k < s.nodes.size(); ++k) {
+      const Node& o = *s.nodes[k];
+      if (!o.up || static_cast<int>(k) == i - 1 || log.empty() || o.machine->log().empty()) {
+        continue;
+      }
+      bool matched = false;
+      const auto& theirs = o.machine->log();
+      for (Index at = std::min(log.back().index, theirs.back().index);
+           at >= std::max(log.front().index, theirs.front().index) && at > 0; --at) {
+        const Entry& a = *EntryAt(log, at);
+        const Entry& b = *EntryAt(theirs, at);
+        matched |= a.term == b.term;
+        if (matched && DigestOf(a) != DigestOf(b)) {
+          Fault("log matching", i,
+                "differs from " + std::to_string(k + 1) + " at " + std::to_string(at));
+        }
+      }
+    }
+    if (!n.leading()) return;
+    for (const auto& [index, a] : s.history->acknowledged) {
+      if (a.in > n.machine->term() || index <= n.machine->snapshot_index()) continue;
+      const Entry* e = EntryAt(log, index);
+      if (e && DigestOf(*e) == a.digest) continue;
+      Fault(a.in < n.machine->term() ? "leader completeness" : "no acknowledged entry missing", i,
+            "leads term " + std::to_string(n.machine->term()) + " without " +
+                std::to_string(index) + ", acknowledged in term " + std::to_string(a.in));
+    }
+    CheckVoters(s, i, n);
+  }
+
+  void CheckVoters(const State& s, int i, const Node& n) {
+    // Of the voter sets in a leader's log, from the last committed one on, any may be the one that
+    // somebody goes by.
+    Index committed = s.history->acknowledged.empty() ? 1 : s.history->acknowledged.rbegin()->first;
+    std::vector<std::vector<Member>> sets{MachineProbe::snapshot(*n.machine).voters};
+    for (const Entry& e : n.machine->log()) {
+      if (e.kind != consensus::EntryKind::kVoters) continue;
+      auto voters = wire::Decode<std::vector<Member>>(e.data);
+      if (!voters) continue;
+      if (e.index <= committed || e.index <= n.machine->snapshot_index()) sets.clear();
+      sets.push_back(*voters);
+    }
+    for (size_t a = 0; a < sets.size(); ++a) {
+      for (size_t b = a + 1; b < sets.size(); ++b) {
+        if (!MajoritiesMeet(sets[a], sets[b])) {
+          Fault("voter sets meet", i, "goes from one voter set to another that need not meet it");
+        }
+      }
+    }
+    // Two leaders, neither of which a majority of its voters has left behind.
+    auto in_force = [&](const Node& leader) {
+      size_t with = 0;
+      for (const auto& o : s.nodes) {
+        Term term = o->up ? o->machine->term() : o->disk.hard.term;
+        if (leader.machine->IsVoter(o->disk.hard.self) && term <= leader.machine->term()) ++with;
+      }
+      return with >= leader.machine->voters().size() / 2 + 1;
+    };
+    for (const auto& o : s.nodes) {
+      if (o.get() == &n || !o->leading() || !in_force(*o) || !in_force(n)) continue;
+      if (!MajoritiesMeet(o->machine->voters(), n.machine->voters())) {
+        Fault("voter sets meet", i, "leads beside another one by voters that need not meet");
+      }
+    }
+  }
+
+  void Fault(const std::string& invariant, int node, const std::string& what) {
+    if (!fault_ || !fault_->empty() || options_.ignored.count(invariant)) return;
+    *fault_ = invariant + ": node " + std::to_string(node) + " " + what;
+  }
+
+  Options options_;
+  std::vector<Member> founders_;
+  std::string* fault_ = nullptr;
+};
+
+// A run by hand, as the beginning of a search or as a test: takes steps without a budget and keeps
+// them, so that a trace begins where the model does.
+class Script {
+ public:
+  explicit Script(Options options) : model(std::move(options)), state(model.Initial()) {}
+
+  bool Do(Step step) {
+    std::string text = model.Describe(state, step);
+    if (!fault.empty() || !model.Apply(&state, step, &fault)) return false;
+    steps.push_back(step);
+    told.push_back(text);
+    return true;
+  }
+  // Finishes all writes, of one node if given.
+  void PersistAll(int node = 0) {
+    for (int i = 1; i <= size(); ++i) {
+      if (node && node != i) continue;
+      while (at(i).up && !at(i).writes.empty() && Do({StepKind::kPersist, i, 0, 0})) {
+      }
+    }
+  }
+  // Hands over what is under way, in order, and finishes writes, until nothing is left. With a pair
+  // only what goes from the one to the other, without what that causes.
+  void DeliverAll() {
+    for (int round = 0; round < 2000 && fault.empty(); ++round) {
+      PersistAll();
+      auto found = std::find_if(state.network.begin(), state.network.end(),
+                                [&](const Sent& m) { return at(m.to).up; });
+      if (found == state.network.end()) return;
+      Do({StepKind::kDeliver, found->from, found->to, 0});
+    }
+  }
+  void Deliver(int from, int to, int nth = 0) { Do({StepKind::kDeliver, from, to, nth}); }
+  int Under(int from, int to) const {
+    return static_cast<int>(
+        std::count_if(state.network.begin(), state.network.end(),
+                      [&](const Sent& m) { return m.from == from && m.to == to; }));
+  }
+  void Elect(int node) {
+    Do({StepKind::kTick, node, 0, 0});
+    DeliverAll();
+  }
+  const Node& at(int i) const { return *state.nodes[static_cast<size_t>(i - 1)]; }
+  int size() const { return static_cast<int>(state.nodes.size()); }
+
+  Model model;
+  State state;
+  std::vector<Step> steps;
+  std::vector<std::string> told;
+  std::string fault;
+};
+
+// Takes a trace from the beginning; what the last step broke, or nothing.
+inline std::string Replay(const Options& options, const std::vector<Step>& steps) {
+  Script script(options);
+  for (const Step& step : steps) {
+    if (!script.fault.empty()) break;
+    if (!script.Do(step))
+      return "a step can't be taken: " + script.model.Describe(script.state, step);
+  }
+  return script.fault;
+}
+
+struct Result {
+  size_t states = 0;   // distinct
+  size_t steps = 0;    // taken
+  int depth = 0;       // after the beginning
+  bool whole = false;  // all states within the bound were seen
+  double seconds = 0;
+  std::string fault;
+  std::vector<Step> trace;  // from the model's beginning
+  std::vector<std::string> told;
+  size_t begun = 0;  // of the trace, steps of the script
+
+  std::string Summary() const {
+    char text[200];
+    std::snprintf(text, sizeof text, "states=%zu steps=%zu depth=%d whole=%d seconds=%.1f", states,
+                  steps, depth, whole ? 1 : 0, seconds);
+    std::string out = text;
+    if (fault.empty()) return out;
+    out += "\n" + fault + "\n";
+    for (size_t k = 0; k < told.size(); ++k) {
+      const Step& s = trace[k];
+      out += (k < begun ? "  " : "> ") + std::string("{") +
+             std::to_string(static_cast<int>(s.kind)) + "," + std::to_string(s.node) + "," +
+             std::to_string(s.other) + "," + std::to_string(s.nth) + "} " + told[k] + "\n";
+    }
+    return out;
+  }
+};
+
+class Stopwatch {
+ public:
+  double seconds() const {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - begun_).count();
+  }
+
+ private:
+  std::chrono::steady_clock::time_point begun_ = std::chrono::steady_clock::now();
+};
+
+inline void Tell(const Script& script, const std::vector<Step>& found, Result* result) {
+  Script again(script.model.options());
+  result->trace = script.steps;
+  result->trace.insert(result->trace.end(), found.begin(), found.end());
+  result->begun = script.steps.size();
+  for (const Step& step : result->trace) again.Do(step);
+  result->told = again.told;
+}
+
+// Breadth first from where the script ended: the first violation has a shortest trace.
+inline Result Search(const Script& script, const Budget& budget, int depth,
+                     size_t most_states = SIZE_MAX, double most_seconds = 1e9) {
+  struct Link {
+    size_t parent;
+    Step step;
+  };
+  Result result;
+  Stopwatch watch;
+  Model model = script.model;
+  std::unordered_set<uint64_t> seen;
+  std::vector<Link> links;
+  std::vector<std::pair<size_t, State>> now, next;
+  if (!script.fault.empty()) {
+    result.fault = script.fault;
+    Tell(script, {}, &result);
+    return result;
+  }
+  State first = script.state;
+  first.budget = budget;
+  seen.insert(first.DigestValue());
+  links.push_back({0, {}});
+  now.push_back({0, std::move(first)});
+  bool cut_short = false;
+  for (int level = 0; level < depth && !now.empty() && !cut_short && result.fault.empty();
+       ++level) {
+    for (auto& [link, state] : now) {
+      for (const Step& step : model.Steps(state)) {
+        State reached = state;
+        std::string fault;
+        if (!model.Apply(&reached, step, &fault)) continue;
+        ++result.steps;
+        int& left = reached.budget[static_cast<size_t>(step.kind)];
+        if (left > 0) --left;
+        if (!fault.empty()) {
+          std::vector<Step> found{step};
+          for (size_t k = link; k != 0; k = links[k].parent) found.push_back(links[k].step);
+          std::reverse(found.begin(), found.end());
+          result.fault = fault;
+          Tell(script, found, &result);
+          break;
+        }
+        if (!seen.insert(reached.DigestValue()).second) continue;
+        links.push_back({link, step});
+        next.push_back({links.size() - 1, std::move(reached)});
+      }
+      state = State();
+      cut_short = seen.size() >= most_states || watch.seconds() > most_seconds;
+      if (!result.fault.empty() || cut_short) break;
+    }
+    result.depth = level + 1;
+    now = std::move(next);
+    next.clear();
+  }
+  result.states = seen.size();
+  result.whole = !cut_short && result.fault.empty();
+  result.seconds = watch.seconds();
+  return result;
+}
+
+// Drops steps that a violation doesn't need, one by one.
+inline std::vector<Step> Shrink(const Script& script, std::vector<Step> steps,
+                                const std::string& fault) {
+  std::string invariant = fault.substr(0, fault.find(':'));
+  auto still = [&](const std::vector<Step>& tried) {
+    State state = script.state;
+    Model model = script.model;
+    std::string found;
+    for (const Step& step : tried) {
+      if (!model.Apply(&state, step, &found)) return false;
+      if (!found.empty()) break;
+    }
+    return found.compare(0, invariant.size(), invariant) == 0;
+  };
+  for (bool shorter = true; shorter;) {
+    shorter = false;
+    for (size_t k = 0; k < steps.size(); ++k) {
+      std::vector<Step> tried = steps;
+      tried.erase(tried.begin() + static_cast<std::ptrdiff_t>(k));
+      if (!still(tried)) continue;
+      steps = std::move(tried);
+      shorter = true;
+      --k;
+    }
+  }
+  return steps;
+}
+
+// Random walks from where the script ended, one after the other until the time is up.
+inline Result Walk(const Script& script, const Budget& budget, int depth, uint64_t seed,
+                   double most_seconds, size_t most_walks = SIZE_MAX) {
+  Result result;
+  Stopwatch watch;
+  Model model = script.model;
+  base::Random random(seed);
+  std::unordered_set<uint64_t> seen;
+  for (size_t walk = 0; walk < most_walks && watch.seconds() < most_seconds; ++walk) {
+    State state = script.state;
+    state.budget = budget;
+    std::vector<Step> taken;
+    for (int k = 0; k < depth; ++k) {
+      std::vector<Step> steps = model.Steps(state);
+      if (steps.empty()) break;
+      // Mostly what goes by itself, so that walks get somewhere between what is rare.
+      if (random.Below(8) != 0) {
+        std::vector<Step> usual;
+        for (const Step& step : steps) {
+          if (step.kind == StepKind::kDeliver || step.kind == StepKind::kPersist) {
+            usual.push_back(step);
+          }
+        }
+        if (!usual.empty()) steps = std::move(usual);
+      }
+      const Step& step = steps[random.Below(steps.size())];
+      std::string fault;
+      if (!model.Apply(&state, step, &fault)) continue;
+      taken.push_back(step);
+      ++result.steps;
+      result.depth = std::max(result.depth, k + 1);
+      int& left = state.budget[static_cast<size_t>(step.kind)];
+      if (left > 0) --left;
+      if (!fault.empty()) {
+        result.fault = fault;
+        result.states = seen.size();
+        result.seconds = watch.seconds();
+        Tell(script, Shrink(script, taken, fault), &result);
+        return result;
+      }
+      seen.insert(state.DigestValue());
+    }
+  }
+  result.states = seen.size();
+  result.seconds = watch.seconds();
+  return result;
+}
+
+}  // namespace elderkeel::model
--- /dev/null
+++ b/tests/model_checker_test.cc
@@ -0,0 +1,98 @@
+#include "model_checker.h"
+
+#include <gtest/gtest.h>
+
+#include "model_scenarios.h"
+
+namespace elderkeel::model {
+namespace {
+
+// Every state that can be reached within the bound, from every scenario: the same ones each time.
+class ModelCheckerTest : public testing::TestWithParam<std::string> {};
+
+TEST_P(ModelCheckerTest, NoInvariantBreaksWithinTheBound) {
+  const Scenario& scenario = *FindScenario(GetParam());
+  Script script(scenario.options);
+  scenario.begin(&script);
+  Result result = Search(script, scenario.budget, scenario.depth);
+  std::printf("%s: %s\n", scenario.name.c_str(), result.Summary().c_str());
+  EXPECT_EQ(result.fault, "") << result.Summary();
+  EXPECT_TRUE(result.whole);
+  EXPECT_EQ(result.depth, scenario.depth) << "the bound ends early: nothing is left to do";
+  EXPECT_GT(result.states, 100u);
+}
+
+std::vector<std::string> Names() {
+  std::vector<std::string> names;
+  for (const Scenario& s : Scenarios()) names.push_back(s.name);
+  return names;
+}
+
+INSTANTIATE_TEST_SUITE_P(Scenarios, ModelCheckerTest, testing::ValuesIn(Names()),
+                         [](const testing::TestParamInfo<std::string>& info) {
+                           std::string name = info.param;
+                           std::replace(name.begin(), name.end(), '-', '_');
+                           return name;
+                         });
+
+TEST(ModelCheckerTest, SameWalkEachTime) {
+  const Scenario& scenario = *FindScenario("replacement");
+  Script script(scenario.options);
+  scenario.begin(&script);
+  Result first = Walk(script, scenario.budget, 40, 7, 1e9, 10);
+  Result second = Walk(script, scenario.budget, 40, 7, 1e9, 10);
+  EXPECT_EQ(first.fault, "") << first.Summary();
+  EXPECT_EQ(first.states, second.states);
+  EXPECT_EQ(first.steps, second.steps);
+}
+
+// The shortest trace that took an acknowledged entry from a synced disk: the leader compacts, a
+// late rejection makes it send the snapshot to a member that holds more, and that one installs it.
+TEST(ModelCheckerTest, LateSnapshotTakesNothingBack) {
+  const Scenario& scenario = *FindScenario("late-snapshot");
+  Script script(scenario.options);
+  scenario.begin(&script);
+  ASSERT_EQ(script.fault, "");
+  std::vector<Step> steps = script.steps;
+  ASSERT_EQ(script.at(3).machine->last_index(), 42u);
+  ASSERT_TRUE(script.Do({StepKind::kCompact, 1, 0, 0}));
+  ASSERT_TRUE(script.Do({StepKind::kDeliver, 3, 1, 0}));
+  for (int k = 0; k < 4 && script.Under(1, 3) > 0; ++k) script.Deliver(1, 3);
+  script.PersistAll(3);
+  EXPECT_EQ(script.fault, "");
+  EXPECT_EQ(script.at(3).machine->last_index(), 42u);
+  EXPECT_EQ(Replay(scenario.options, script.steps), "");
+}
+
+// The checker's own arithmetic.
+TEST(ModelCheckerTest, MajoritiesMeetOrNot) {
+  auto set = [](std::vector<MemberId> ids) {
+    std::vector<Member> members;
+    for (MemberId id : ids) {
+      members.emplace_back();
+      members.back().id = id;
+    }
+    return members;
+  };
+  struct Case {
+    std::vector<MemberId> a, b;
+    bool meet;
+  };
+  for (const Case& c : std::vector<Case>{
+           {{1, 2, 3}, {1, 2, 3}, true},
+           {{1, 2, 3}, {1, 2, 3, 4}, true},
+           {{1, 2, 3}, {1, 2}, true},
+           {{1, 2, 3}, {1, 2, 3, 4, 5}, false},
+           {{1, 2, 3}, {2, 3, 4}, false},
+           {{1, 2, 3, 4}, {1, 2, 3, 5}, true},
+           {{2, 3, 4}, {1, 2, 3, 4, 5}, false},
+           {{1}, {1, 2}, true},
+           {{1}, {2}, false},
+       }) {
+    EXPECT_EQ(MajoritiesMeet(set(c.a), set(c.b)), c.meet) << c.a.size() << " " << c.b.size();
+    EXPECT_EQ(MajoritiesMeet(set(c.b), set(c.a)), c.meet) << c.a.size() << " " << c.b.size();
+  }
+}
+
+}  // namespace
+}  // namespace elderkeel::model
