--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -124,6 +124,8 @@
     size_t bytes;
     base::Millis at;
   };
+  friend struct MachineProbe;  // reads all state, for the model checker; new state goes there too
+
   struct Progress {
     Member member;
     Index match = 0;
