An at-most-once checker: clients, proxies and stand-in servers, with a short run among the tests

Cause: the table of cases shows one misbehaviour at a time; nothing counted, over many requests with proxies killed and frozen, how often each ran and what its client was told. Change: tests/once_world.h plays a seeded run on loopback: three processes, each with a real Front, four stand-in servers that stutter in 30 ways, 24 clients that keep connections, pipeline, leave and reset; proxies are killed and started again, frozen and thawed, all connections of a server reset, an address held by another life for a while. For each attempt id it counts runs, answers and promises. Ruled out: what is drawn comes from the seed, when it takes effect from the machine, so a run can't be repeated to the letter; a fault shows as a count and the first five requests in words.

--- /dev/null
+++ b/tests/once_test.cc
@@ -0,0 +1,32 @@
+#include <gtest/gtest.h>
+
+#include "once_world.h"
+
+namespace elderkeel::once {
+namespace {
+
+// A short run of the at-most-once checker (once_run.cc).
+TEST(Once, NothingRunsTwiceNothingIsForeignNoPromiseBreaks) {
+  Options options;
+  options.seed = 7;
+  Report report = World(options).Run();
+  std::printf("%s\n", report.Line().c_str());
+  EXPECT_EQ(report.doubled, 0);
+  EXPECT_EQ(report.foreign, 0);
+  EXPECT_EQ(report.broken_promises, 0);
+  EXPECT_EQ(report.reused, 0);
+  for (const std::string& what : report.first) ADD_FAILURE() << what;
+  // It would prove nothing without these.
+  EXPECT_GT(report.once, 200);
+  EXPECT_GT(report.runs, 100);
+  EXPECT_GT(report.answers, 100);
+  EXPECT_GT(report.promises, 5);
+  EXPECT_GT(report.sent_again, 0);
+  EXPECT_GT(report.kills, 0);
+  EXPECT_GT(report.freezes, 0);
+  EXPECT_GT(report.resets, 0);
+  EXPECT_GT(report.other_lives, 0);
+}
+
+}  // namespace
+}  // namespace elderkeel::once
