--- a/tests/model_checker.h
+++ b/tests/model_checker.h
@@ -79,7 +79,8 @@
 }
 inline uint64_t DigestOf(const Message& m) {
   Digest d;
-  d.Add(m.type, m.cluster, m.from, m.to, m.term, m.index, m.log_term, m.commit, m.round, m.granted);
+  d.Add(m.type, m.cluster, m.from, m.to, m.term, m.index, m.log_term, m.commit, m.round, m.granted,
+        m.offset, m.total);
   AddTo(&d, m.entries);
   for (const Snapshot& s : m.snapshot) AddTo(&d, s);
   return d.value();
@@ -111,7 +112,12 @@
     model::Digest d;
     d.Add(m.self_.id, m.role_, m.term_, m.commit_, m.applied_, m.commit_told_, m.persisted_,
           m.broken_, m.fresh_, m.leader_id_, m.write_sequence_ - m.written_, m.disk_stuck(now),
-          m.round_, m.heard_round_, m.pre_vote_round_);
+          m.round_, m.heard_round_, m.pre_vote_round_, m.leaving_, m.departed_,
+          m.leaving_ && now >= m.leave_at_, m.incoming_.has_value());
+    if (m.incoming_) {
+      model::AddTo(&d, m.incoming_->snapshot);
+      d.Add(m.incoming_->total);
+    }
     model::AddTo(&d, m.hard_);
     model::AddTo(&d, m.snapshot_);
     model::AddTo(&d, m.log_);
@@ -129,16 +135,19 @@
       for (MemberId id : m.votes_) d.Add(id);
     }
     if (m.role_ == Role::kLeader) {
-      d.Add((now - m.quorum_since_) / m.timing_.heartbeat, m.progress_.size());
+      d.Add((now - m.MajorityHeard()) / m.timing_.heartbeat, m.progress_.size());
       for (const auto& [id, p] : m.progress_) {
         base::Millis silent = now - p.heard;
-        d.Add(id, p.match, p.next, p.round, p.voter,
-              silent<m.timing_.election,
-                     silent<m.timing_.election * 2, silent> m.timing_.replace_after, silent>
-                      m.timing_.replace_after *
-                  2,
-              silent > m.timing_.forget_after, silent > m.timing_.heartbeat * 4,
-              now - p.sent > m.timing_.heartbeat * 4);
+        d.Add(id, p.match, p.next, p.round, p.voter, p.acknowledged_round, p.rewound_round,
+              p.lost_state, p.window, p.offset, p.sending ? p.sending->index : 0);
+        d.Add(p.in_flight.size());
+        for (const auto& flight : p.in_flight) d.Add(flight.round, flight.bytes);
+        const consensus::Timing& t = m.timing_;
+        for (base::Millis span : {t.heartbeat * 4, t.election, t.election * 2, t.replace_after,
+                                  t.replace_after * 2, t.forget_after}) {
+          d.Add(silent > span, silent == span);
+        }
+        d.Add(p.leave_asked >= 0 && p.heard - p.leave_asked < t.election);
       }
     }
     return d.value();
