Consensus: the voters are reviewed while changes go on

Cause: the review ran only when a heartbeat was due, and each change puts the next heartbeat off. With changes closer together than heartbeats (120 ms) no learner ever got its vote.

Change: the leader reviews the voters at each tick.

Seen to fail: Join.ALearnerGetsItsVoteWhileChangesGoOn with the review only at heartbeats.

--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -203,10 +203,8 @@
       election_at_ = now + timing_.election * 4;
       return;
     }
-    if (now >= heartbeat_at_) {
-      Broadcast(now);
-      ReviewVoters(now);
-    }
+    if (now >= heartbeat_at_) Broadcast(now);
+    ReviewVoters(now);  // not only with heartbeats: while changes go out none is due
     return;
   }
   if (gap > timing_.election) {
--- a/tests/consensus_test.cc
+++ b/tests/consensus_test.cc
@@ -763,5 +763,26 @@
   EXPECT_EQ(node.disk.snapshot.state, "ABCDEF");
 }
 
+// Changes that follow each other closer than heartbeats keep nobody from getting a vote.
+TEST(Join, ALearnerGetsItsVoteWhileChangesGoOn) {
+  for (Millis every : {1000, 200, 100, 50, 10}) {
+    SCOPED_TRACE("a change every " + std::to_string(every) + " ms");
+    Cluster cluster;
+    cluster.Run(2000);
+    Node* leader = cluster.leader();
+    ASSERT_NE(leader, nullptr);
+    size_t slot = leader->machine->self().id == 2 ? 2 : 1;
+    cluster.nodes[slot] = std::make_unique<Node>(slot + 1, Restored(), cluster.now, 77);
+    leader->machine->Join(cluster.now, cluster.nodes[slot]->machine->self());
+    Millis begun = cluster.now;
+    while (cluster.now - begun < 3000 && !leader->machine->IsVoter(77)) {
+      if ((cluster.now - begun) % every == 0) leader->machine->Propose(cluster.now, "c");
+      cluster.Send(leader->Take(cluster.now));
+      cluster.Run(10);
+    }
+    EXPECT_LT(cluster.now - begun, 1000);
+  }
+}
+
 }  // namespace
 }  // namespace elderkeel::consensus
