--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -224,7 +224,7 @@
       election_at_ = now + timing_.election * 4;
       return;
     }
-    ReviewVoters(now);
+    ReviewVoters(now);  // not only with heartbeats: while changes go out none is due
     if (now >= heartbeat_at_) {
       Broadcast(now);
       // Nobody is left to hand over to.
--- a/tests/cut_test.cc
+++ b/tests/cut_test.cc
@@ -363,6 +363,7 @@
     Millis now() const { return all->world_->now; }
     bool settled() const override { return node().machine->settled(); }
     bool leading() const override { return node().machine->leading(); }
+    uint64_t term() const override { return node().machine->term(); }
     std::optional<std::string> leader_control() const override {
       auto leader = node().machine->LeaderInTouch(now());
       if (!leader) return std::nullopt;
--- a/tests/model_checker.h
+++ b/tests/model_checker.h
@@ -116,7 +116,7 @@
           m.leaving_ && now >= m.leave_at_, m.incoming_.has_value());
     if (m.incoming_) {
       model::AddTo(&d, m.incoming_->snapshot);
-      d.Add(m.incoming_->total);
+      d.Add(m.incoming_->leader_term);
     }
     model::AddTo(&d, m.hard_);
     model::AddTo(&d, m.snapshot_);
