--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -180,6 +180,7 @@
       {"taken and forgotten", Small(oldest - 1, oldest, "a"), 503},
       {"the first", Small(0, 1, "a"), 503},
       {"a rival that lost", Small(last - 1, last, "b"), 412},
+      {"a rival under a higher number", Small(last - 1, last + 5, "b"), 412},
       {"a rival that lost long ago", Small(oldest, oldest + 1, "b"), 412},
       {"another verb", {true, last - 1, Small(last - 1, last, "a").body}, 412},
       {"another If-Match", Small(last - 2, last, "a"), 412},
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -91,6 +91,28 @@
     }
   };
 
+  // Who follows the controllers' machines, as a process would that runs them.
+  class Follower {
+   public:
+    virtual ~Follower() = default;
+    virtual void Started(size_t node) = 0;
+    virtual void Crashed(size_t node) = 0;
+    // An entry of the log was applied to the node's state.
+    virtual void Applied(size_t node, consensus::Index index) = 0;
+    // After all committed entries of these effects were applied.
+    virtual void Pumped(size_t node, const consensus::Machine::Effects& effects) = 0;
+    virtual void Stepped() = 0;
+  };
+  // Outlives all runs from here on; for it everything that is up has started.
+  void Follow(Follower* follower) {
+    follower_ = follower;
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i]->up) follower_->Started(i);
+    }
+  }
+  // Does what a node's machine and news have decided on; after each call of them from outside.
+  void Pump(size_t i) { PumpNode(i); }
+
   explicit World(Options options) : options_(options), random_(options.seed) {
     for (int i = 0; i < options.controllers + options.proxies; ++i) {
       auto node = std::make_unique<Node>();
@@ -165,9 +187,11 @@
     }
     n.machine = std::make_unique<consensus::Machine>(machine, n.disk, now);
     for (auto& other : nodes_) n.machine->NoteZone(other->address.ip, other->zone);
+    if (follower_) follower_->Started(i);
   }
   void Crash(size_t i) {
     Node& n = *nodes_[i];
+    if (n.up && follower_) follower_->Crashed(i);
     n.up = false;
     n.writing.clear();  // what was not synced is gone
     n.machine.reset();
@@ -393,6 +417,7 @@
       if (!n.controller && options_.requests > 0) Serve(i);
       Pump(i);
     }
+    if (follower_) follower_->Stepped();
   }
 
   static bool Propose(Node& n, const rollout::Step& step) {
@@ -628,7 +653,7 @@
     }
   }
 
-  void Pump(size_t i) {
+  void PumpNode(size_t i) {
     Node& n = *nodes_[i];
     auto ring = n.members->Take();
     for (const auto& node : ring.changed) {
@@ -671,7 +696,8 @@
     Node& n = *nodes_[i];
     for (;;) {
       consensus::Machine::Effects e = n.machine->Take();
-      if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty())
+      if (e.messages.empty() && e.writes.empty() && e.committed.empty() && e.installed.empty() &&
+          e.reads_ready.empty() && e.reads_failed.empty() && !e.role_changed)
         break;
       for (auto& write : e.writes)
         n.writing.push_back({now + 2 + static_cast<Millis>(random_.Below(20)), std::move(write)});
@@ -687,7 +713,10 @@
         auto [at, added] = committed_.emplace(entry.index, digest);
         if (!added && at->second != digest)
           Fail(n.address.ip + " committed another entry at " + std::to_string(entry.index));
-        if (entry.kind == consensus::EntryKind::kCommand) n.state.Apply(entry.data);
+        if (entry.kind == consensus::EntryKind::kCommand) {
+          n.state.Apply(entry.data);
+          if (follower_) follower_->Applied(i, entry.index);
+        }
         auto sent = pending_.find({&n, n.life, entry.index});
         if (sent != pending_.end()) {
           if (n.machine->leading() && n.state.configuration.revision() == sent->second.first) {
@@ -713,6 +742,7 @@
       }
       n.news->Commit(n.state.orders);
       FollowRollouts(n);
+      if (follower_) follower_->Pumped(i, e);
       if (n.machine->log_size() > 24)
         n.machine->Compact(n.machine->commit(), wire::Encode(n.state));
     }
@@ -724,6 +754,7 @@
   }
 
   Options options_;
+  Follower* follower_ = nullptr;
   base::Random random_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<Address, size_t> by_address_;
