--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -106,6 +106,28 @@
     }
   };
 
+  // Who follows the controllers' machines, as a process would that runs them.
+  class Follower {
+   public:
+    virtual ~Follower() = default;
+    virtual void Started(size_t node) = 0;
+    virtual void Crashed(size_t node) = 0;
+    // An entry of the log was applied to the node's state.
+    virtual void Applied(size_t node, consensus::Index index) = 0;
+    // After all committed entries of these effects were applied.
+    virtual void Pumped(size_t node, const consensus::Machine::Effects& effects) = 0;
+    virtual void Stepped() = 0;
+  };
+  // Outlives all runs from here on; for it everything that is up has started.
+  void Follow(Follower* follower) {
+    follower_ = follower;
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i]->up) follower_->Started(i);
+    }
+  }
+  // Does what a node's machine and news have decided on; after each call of them from outside.
+  void Pump(size_t i) { PumpNode(i); }
+
   explicit World(Options options) : options_(options), random_(options.seed) {
     options_.controllers += options.spare;
     for (int i = 0; i < options_.controllers + options.proxies; ++i) {
@@ -187,9 +209,11 @@
     }
     n.machine = std::make_unique<consensus::Machine>(machine, n.disk, now);
     for (auto& other : nodes_) n.machine->NoteZone(other->address.ip, other->zone);
+    if (follower_) follower_->Started(i);
   }
   void Crash(size_t i) {
     Node& n = *nodes_[i];
+    if (n.up && follower_) follower_->Crashed(i);
     n.up = false;
     n.writing.clear();  // what was not synced is gone
     n.machine.reset();
@@ -437,6 +461,7 @@
       Pump(i);
       if (n.leave_by && (n.machine->departed() || now >= n.leave_by)) Crash(i);
     }
+    if (follower_) follower_->Stepped();
   }
 
   bool Propose(Node& n, const rollout::Step& step) {
@@ -724,7 +749,7 @@
     }
   }
 
-  void Pump(size_t i) {
+  void PumpNode(size_t i) {
     Node& n = *nodes_[i];
     auto ring = n.members->Take();
     for (const auto& node : ring.changed) {
@@ -790,6 +815,7 @@
         if (entry.kind == consensus::EntryKind::kCommand) {
           n.state.Apply(entry.data);
           if (hooks.applied) hooks.applied(i, entry);
+          if (follower_) follower_->Applied(i, entry.index);
         }
         auto sent = pending_.find({&n, n.life, entry.index});
         if (sent != pending_.end()) {
@@ -827,6 +853,7 @@
           }
         }
       }
+      if (follower_) follower_->Pumped(i, e);
       if (n.machine->log_size() > 24)
         n.machine->Compact(n.machine->commit(), wire::Encode(n.state));
     }
@@ -838,6 +865,7 @@
   }
 
   Options options_;
+  Follower* follower_ = nullptr;
   base::Random random_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<Address, size_t> by_address_;
