Roll-outs: the word of a watcher's former life counts no more, however late it comes

Cause: Conductor took the vote that came last for the newest; a late frame of a life that had ended took the place of its successor's. Change: lives that another has followed are remembered (16 a watcher) and refused. Ruled out: ordering by the age told, which may fall when proxies are lost. Measured: Conductor.TheWordOfAWatchersFormerLife... fails without the refusal (2 expectations); all 210 tests pass.

--- a/src/rollout/conductor.cc
+++ b/src/rollout/conductor.cc
@@ -71,9 +71,21 @@
   if (at == known_.end()) return;
   Known& known = at->second;
   known.since = std::min(known.since, now - static_cast<base::Millis>(vote.age_ms));
-  if (known.votes.size() < 64 || known.votes.count(vote.watcher)) {
-    known.votes[vote.watcher] = {vote, now};
+  auto told = known.votes.find(vote.watcher);
+  if (told == known.votes.end()) {
+    if (known.votes.size() < 64) known.votes[vote.watcher] = {vote, now, {}};
+    return;
   }
+  // The word of a life that another has followed counts no more, however late it comes.
+  Told& last = told->second;
+  std::vector<uint64_t>& former = last.former_lives;
+  if (std::find(former.begin(), former.end(), vote.life) != former.end()) return;
+  if (vote.life != last.vote.life) {
+    if (former.size() >= 16) former.erase(former.begin());
+    former.push_back(last.vote.life);
+  }
+  last.vote = vote;
+  last.at = now;
 }
 
 base::Millis Conductor::Age(base::Millis now, const Rollout& rollout) const {
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -533,5 +533,27 @@
   EXPECT_EQ(started.Age(9100, *state.Of("s")), 8800);
 }
 
+TEST(Conductor, TheWordOfAWatchersFormerLifeCountsNoMore) {
+  Rollouts state;
+  state.Apply(Ordered("v2", 14000, {1, 2, 3}));
+  Conductor conductor{Conductor::Options()};
+  conductor.Adopt(0, state);
+  auto tell = [&](uint64_t life, Opinion opinion) {
+    Vote vote;
+    vote.number = 1;
+    vote.watcher = 1;
+    vote.life = life;
+    vote.opinion = opinion;
+    conductor.OnVote(100, vote);
+    return conductor.VotesOn(1).at(1).vote.opinion;
+  };
+  EXPECT_EQ(tell(7, Opinion::kBad), Opinion::kBad);
+  EXPECT_EQ(tell(8, Opinion::kAbstains), Opinion::kAbstains);
+  EXPECT_EQ(tell(7, Opinion::kBad), Opinion::kAbstains);  // late
+  EXPECT_EQ(tell(9, Opinion::kGood), Opinion::kGood);
+  EXPECT_EQ(tell(8, Opinion::kBad), Opinion::kGood);
+  EXPECT_EQ(tell(9, Opinion::kAbstains), Opinion::kAbstains);
+}
+
 }  // namespace
 }  // namespace elderkeel::rollout
