Control: a controller without a disk sends callers on only to one that is alive

Cause: the nearest neighbour was chosen by zone before state, so that a 307 could lead to a machine that is out of touch while another was alive.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -124,28 +124,12 @@
   return false;
 }
 
-// The nearest controller with a disk that is in sight.
-std::optional<base::Address> Controller::DurableNeighbour() const {
-  std::optional<base::Address> best;
-  int best_distance = 4;
-  for (const ring::Node* node : fleet_->members().Others()) {
-    if (!node->durable) continue;
-    int distance =
-        (node->zone == settings_.zone ? 0 : 2) + (node->state == ring::State::kAlive ? 0 : 1);
-    if (distance < best_distance) {
-      best_distance = distance;
-      best = node->address();
-    }
-  }
-  return best;
-}
-
 bool Controller::Idle() const {
-  return settings_.data_dir.empty() && DurableNeighbour().has_value();
+  return settings_.data_dir.empty() && fleet_->members().NearestDurable(true).has_value();
 }
 
 void Controller::SendOn(wire::HttpServer::Ticket ticket, const std::string& target) {
-  auto to = DurableNeighbour();
+  auto to = fleet_->members().NearestDurable(false);
   wire::Message answer = wire::OwnAnswer(to ? 307 : 503, "this controller has no part in the log");
   if (to) {
     // All controllers take the operator at the same port.
@@ -365,7 +349,7 @@
   if (auto leader = replica_->machine().LeaderInTouch(base::SteadyMillis()); leader && !leading()) {
     reply.leader_ip = leader->ip;
     reply.leader_port = leader->port;
-  } else if (auto neighbour = DurableNeighbour(); neighbour && !leading()) {
+  } else if (auto neighbour = fleet_->members().NearestDurable(false); neighbour && !leading()) {
     reply.leader_ip = neighbour->ip;
     reply.leader_port = neighbour->port;
   }
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -63,7 +63,6 @@
   bool Begin();
   // Without a disk, where others have one: it has no part in the log and sends callers on.
   bool Idle() const;
-  std::optional<base::Address> DurableNeighbour() const;
   void SendOn(wire::HttpServer::Ticket ticket, const std::string& target);
   void OnRequest(wire::HttpServer::Ticket ticket, wire::Message&& request);
   void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
--- a/src/ring/membership.cc
+++ b/src/ring/membership.cc
@@ -119,6 +119,19 @@
   return others;
 }
 
+std::optional<base::Address> Membership::NearestDurable(bool suspects) const {
+  const Node* best = nullptr;
+  auto distance = [this](const Node& node) {
+    return (node.state == State::kAlive ? 0 : 2) + (node.zone == self_.zone ? 0 : 1);
+  };
+  for (const Node* node : Others()) {
+    if (!node->durable || (!suspects && node->state != State::kAlive)) continue;
+    if (!best || distance(*node) < distance(*best)) best = node;
+  }
+  if (!best) return std::nullopt;
+  return best->address();
+}
+
 size_t Membership::CountAlive(Program program) const {
   size_t n = 0;
   for (const auto& [id, node] : nodes_) n += node.program == program && node.reachable();
--- a/src/ring/membership.h
+++ b/src/ring/membership.h
@@ -5,6 +5,7 @@
 #include <cereal/types/vector.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -155,6 +156,8 @@
   const std::string& RegionOf(const std::string& zone) const;
   // Others that are alive or only suspected.
   std::vector<const Node*> Others() const;
+  // The nearest other node with a disk: one that is alive, or with `suspects` also one that may be.
+  std::optional<base::Address> NearestDurable(bool suspects) const;
   size_t CountAlive(Program program) const;  // this process included
   // Those held for lost too: a cut does not tell from a death, and both sides of one go on.
   size_t CountPossible(Program program) const;
--- a/tests/ring_test.cc
+++ b/tests/ring_test.cc
@@ -150,6 +150,35 @@
   }
 }
 
+TEST(Ring, NamesTheNearestThatHasADiskAndIsNotSuspected) {
+  struct Case {
+    const char* name;
+    std::vector<std::pair<size_t, State>> durable;  // zones: 0 and 2 "a", 1 and 3 "b"
+    int alive, any;                                 // which of them; -1 for none
+  } cases[] = {
+      {"none has a disk", {}, -1, -1},
+      {"the own zone first", {{1, State::kAlive}, {2, State::kAlive}}, 2, 2},
+      {"one elsewhere rather than a suspect", {{1, State::kAlive}, {2, State::kSuspect}}, 1, 1},
+      {"suspects alone", {{1, State::kSuspect}, {2, State::kSuspect}}, -1, 2},
+      {"the dead are nobody", {{1, State::kDead}, {3, State::kLeft}}, -1, -1},
+  };
+  for (const Case& c : cases) {
+    Membership membership(OptionsOf(Member(0, 2), 1), {}, 0);
+    Table table;
+    for (size_t i = 1; i < 4; ++i) table.nodes.push_back(Member(i, 2));
+    for (const auto& [i, state] : c.durable) {
+      table.nodes[i - 1].durable = true;
+      table.nodes[i - 1].state = state;
+    }
+    membership.OnTable(10, table.nodes[0].address(), table);
+    auto expected = [](int i) {
+      return i < 0 ? std::optional<base::Address>() : Member(static_cast<size_t>(i), 2).address();
+    };
+    EXPECT_EQ(membership.NearestDurable(false), expected(c.alive)) << c.name;
+    EXPECT_EQ(membership.NearestDurable(true), expected(c.any)) << c.name;
+  }
+}
+
 }  // namespace
 }  // namespace elderkeel::ring
 
