Simulation: a member that was away catches up during changes

Restarted after a loss of power, wiped, frozen for a minute, or new: within 5 s it has the state of its return and its vote, and never leads with less than was acknowledged. ELDERKEEL_CATCH_UP_SEEDS prints a histogram.

--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 
 namespace elderkeel::simulation {
@@ -576,6 +577,77 @@
   Settle(&world, 6000, "after its return");
 }
 
+// After hundreds of changes, and during more of them, a member that was away has the newest state
+// and its vote again within seconds, and never leads with less than was acknowledged.
+// ELDERKEEL_CATCH_UP_SEEDS=1000 prints how long it took over so many seeds.
+TEST(Simulation, AMemberThatWasAwayCatchesUpDuringChanges) {
+  enum class Kind { kRestarted, kWiped, kFrozen, kNew };
+  struct Case {
+    const char* name;
+    Kind kind;
+    Millis away;
+  } cases[] = {{"restarted", Kind::kRestarted, 1500},
+               {"wiped", Kind::kWiped, 1500},
+               {"frozen for a minute", Kind::kFrozen, 60000},
+               {"new", Kind::kNew, 1500}};
+  const char* text = std::getenv("ELDERKEEL_CATCH_UP_SEEDS");
+  uint64_t seeds = text ? static_cast<uint64_t>(std::max(1, std::atoi(text))) : 3;
+  for (const Case& c : cases) {
+    std::map<Millis, int> histogram;  // by 250 ms
+    Millis worst = 0;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+      SCOPED_TRACE(std::string(c.name) + " seed " + std::to_string(seed));
+      World::Options options;
+      options.seed = seed;
+      options.controllers = 4;
+      options.proxies = 1;
+      World world(options);
+      size_t victim = c.kind == Kind::kNew ? 3 : world.random().Below(4);
+      if (c.kind == Kind::kNew) world.Wipe(victim);
+      auto run = [&](Millis span, Millis every) {
+        for (Millis end = world.now + span; world.now < end && world.fault.empty();) {
+          world.Change();
+          world.Run(every);
+          consensus::Machine* machine = world.node(victim).machine.get();
+          if (machine && !world.node(victim).frozen && machine->settled() &&
+              world.node(victim).state.configuration.revision() < world.acknowledged()) {
+            world.fault = "it leads with an older state";
+          }
+        }
+      };
+      world.Run(4000);
+      run(6000, 30);
+      if (c.kind == Kind::kRestarted) world.LosePower(victim);
+      if (c.kind == Kind::kWiped) world.Wipe(victim);
+      if (c.kind == Kind::kFrozen) world.Freeze(victim, true);
+      run(c.away, c.away / 50);
+      world.Freeze(victim, false);
+      world.Start(victim);
+      int64_t wanted = world.acknowledged();
+      Millis begun = world.now;
+      auto back = [&] {
+        int leader = world.leader();
+        const World::Node& node = world.node(victim);
+        return leader >= 0 && node.state.configuration.revision() >= wanted &&
+               world.node(static_cast<size_t>(leader)).machine->IsVoter(node.machine->self().id) &&
+               node.machine->IsVoter(node.machine->self().id);
+      };
+      while (!back() && world.now - begun < 20000 && world.fault.empty()) run(30, 30);
+      ASSERT_EQ(world.fault, "");
+      Millis took = world.now - begun;
+      EXPECT_LE(took, 5000);
+      worst = std::max(worst, took);
+      ++histogram[took / 250 * 250];
+    }
+    if (!text) continue;
+    std::printf("%s: worst %d ms;", c.name, static_cast<int>(worst));
+    for (const auto& [from, count] : histogram) {
+      std::printf(" %d:%d", static_cast<int>(from), count);
+    }
+    std::printf("\n");
+  }
+}
+
 TEST(Simulation, LossOfOneMemberIsNoticedAndAFrozenOneNoticesItself) {
   World world({});
   world.Run(2000);
