Membership: a silent voter beyond those needed is taken out after 2.5 s, whatever their number

The successors were let in before the silence of the lost ones was noticed; the first lost one was one of five and waited for for 20 s, and once two were silent neither was ever taken out, since more were silent than may be lost at once. Six voted, two of them gone for good; the next loss left three. Change: whoever is silent beyond the voters that the tolerance needs is taken out after 2.5 s, of odd numbers too; while more are silent than may be lost at once, after 20 s instead of never. Ruled out: waiting for one of an odd number, since without it no more are needed than with it. Measured: the new row of the table (gone for good, twice) fails before with 4 voters and passes now, as do all others.

--- a/src/consensus/membership.cc
+++ b/src/consensus/membership.cc
@@ -158,19 +158,18 @@
     propose(std::move(more));
     return;
   }
-  // One that stays away is not waited for: it would count towards every majority. If it comes back
-  // it asks to be taken in again. But a cut is no loss: where every voter is needed for what is
-  // tolerated, it stays, and so it does while more are silent than may be lost at once.
+  // One that stays away is not waited for: it would count towards every majority, and it may be
+  // what an exchanged machine leaves behind. If it comes back it asks to be taken in again. But a
+  // cut is no loss: where every voter is needed for what is tolerated it stays, and while more are
+  // silent than may be lost at once it is waited for longer.
   if (voters_.size() <= FewestVoters()) return;
   size_t all_silent = static_cast<size_t>(std::count_if(voters_.begin(), voters_.end(), silent));
+  base::Millis patience = all_silent <= std::max<size_t>(1, tolerance_.machines)
+                              ? timing_.replace_after
+                              : timing_.forget_after;
   for (const Member& v : voters_) {
     if (v.id == self_.id || !LiveMajorityWithout(now, v.id)) continue;
-    // Of an even number one less makes the majority smaller, and so do two of an odd one: what
-    // machines that were exchanged for others leave behind is not waited for. One of an odd number
-    // is: without it no fewer are needed.
-    bool helps = voters_.size() % 2 == 0 || (all_silent > 1 && voters_.size() > FewestVoters() + 1);
-    base::Millis patience = helps ? timing_.replace_after : timing_.forget_after;
-    bool away = silent_for(v) > patience && all_silent <= std::max<size_t>(1, tolerance_.machines);
+    bool away = silent_for(v) > patience;
     if (away || Leaving(progress_[v.id])) {
       propose(without(v.id));
       return;
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -37,7 +37,7 @@
          << "no change is acknowledged, " << (world->fault.empty() ? "no fault" : world->fault);
 }
 
-enum class Loss { kPlanned, kGone, kAllGone, kWiped, kRestarted };
+enum class Loss { kPlanned, kGone, kGoneTwice, kAllGone, kWiped, kRestarted };
 
 struct Case {
   Loss loss;
@@ -53,7 +53,9 @@
                std::to_string(offset));
   World::Options options;
   options.controllers = static_cast<int>(voters);
-  options.spare = c.loss == Loss::kAllGone ? static_cast<int>(tolerated) : 1;
+  options.spare = c.loss == Loss::kAllGone     ? static_cast<int>(tolerated)
+                  : c.loss == Loss::kGoneTwice ? 2
+                                               : 1;
   options.proxies = 1;
   options.tolerance.machines = tolerated;
   options.seed = voters * 1000 + tolerated * 100 + static_cast<uint64_t>(offset + 1000);
@@ -81,6 +83,14 @@
       world.Start(spare);
       world.Run(kSync + offset);
       break;
+    case Loss::kGoneTwice:  // each replaced before its silence is noticed, the second much later
+      for (size_t k = 0; k < 2; ++k) {
+        world.Crash(k == 0 ? first : Victims(&world, voters, first, 1)[0]);
+        world.Run(500);
+        world.Start(spare + k);
+        world.Run(k == 0 ? 15000 : kSync + offset);
+      }
+      break;
     case Loss::kAllGone:  // as many as may be, and their successors stand in other zones
       for (size_t i : Victims(&world, voters, 999, tolerated)) world.Crash(i);
       world.Run(1000);
@@ -130,6 +140,7 @@
   const std::vector<Case> cases = {
       {Loss::kPlanned, "replaced by plan", {-100, 0, 50, 200, 900}},
       {Loss::kGone, "gone for good", {0, 500}},
+      {Loss::kGoneTwice, "gone for good, twice", {0, 400}},
       {Loss::kAllGone, "all gone that may be", {0, 500}},
       {Loss::kWiped, "back without its disk", {0, 300}},
       {Loss::kRestarted, "restarted in order", {0}},
