--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -81,7 +81,7 @@
     member.port = settings_.ControllerPort();
     member.id = FounderId(member.address());
     member.control = founder.ToString();
-    if (const ring::Node* node = fleet_->members().Find(member.address())) member.zone = node->zone;
+    if (const ring::Node* node = peers_->members().Find(member.address())) member.zone = node->zone;
     options.founders.push_back(member);
   }
   std::sort(options.founders.begin(), options.founders.end(),
@@ -103,7 +103,7 @@
   if (settings_.bootstrap && seed && !consensus::Replica::HasStore(settings_.data_dir)) {
     std::vector<base::Address> durable, all = settings_.seeds;
     for (const base::Address& address : all) {
-      const ring::Node* node = fleet_->members().Find({address.ip, settings_.ControllerPort()});
+      const ring::Node* node = peers_->members().Find({address.ip, settings_.ControllerPort()});
       if (!node) return false;
       if (node->durable) durable.push_back(address);
     }
@@ -112,24 +112,24 @@
     replica_->SetOptions(ReplicaOptions({}));
   }
   replica_->Start();
-  for (const auto& [id, node] : fleet_->members().nodes()) replica_->NoteZone(node.ip, node.zone);
+  for (const auto& [id, node] : peers_->members().nodes()) replica_->NoteZone(node.ip, node.zone);
   return true;
 }
 
 bool Controller::HasZone(const std::string& zone) const {
   if (settings_.zones.count(zone)) return true;
-  for (const catalog::Server& server : fleet_->news().catalog().servers) {
+  for (const catalog::Server& server : peers_->disseminator().catalog().servers) {
     if (server.zone == zone) return true;
   }
   return false;
 }
 
 bool Controller::Idle() const {
-  return settings_.data_dir.empty() && fleet_->members().NearestDurable(true).has_value();
+  return settings_.data_dir.empty() && peers_->members().NearestDurable(true).has_value();
 }
 
 void Controller::SendOn(wire::HttpServer::Ticket ticket, const std::string& target) {
-  auto to = fleet_->members().NearestDurable(false);
+  auto to = peers_->members().NearestDurable(false);
   wire::Message answer = wire::OwnAnswer(to ? 307 : 503, "this controller has no part in the log");
   if (to) {
     // All controllers take the operator at the same port.
@@ -142,7 +142,7 @@
 }
 
 base::Result<bool> Controller::Start() {
-  news::Fleet::Hooks hooks;
+  dissemination::Peers::Hooks hooks;
   hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
     OnMessage(from, kind, payload);
   };
@@ -150,16 +150,17 @@
     if (replica_) replica_->NoteZone(node.ip, node.zone);
     Note("node." + std::string(ring::StateName(node.state)), node.address().ToString());
   };
-  fleet_ = std::make_unique<news::Fleet>(loop_, settings_, ring::Program::kController, hooks);
+  peers_ =
+      std::make_unique<dissemination::Peers>(loop_, settings_, ring::Program::kController, hooks);
 
   consensus::Replica::Hooks log;
   log.send = [this](const base::Address& to, const consensus::Message& message) {
-    fleet_->mesh().Send(to, wire::Kind::kConsensus, message);
+    peers_->mesh().Send(to, wire::Kind::kConsensus, message);
   };
   log.apply = [this](const consensus::Entry& entry) { Applied(entry); };
   log.caught_up = [this] {
-    if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
-    fleet_->Commit(state_.orders);
+    if (!state_.configuration.empty()) peers_->Commit(state_.configuration);
+    peers_->Commit(state_.orders);
     AdoptRollouts(base::SteadyMillis());
   };
   log.install = [this](const consensus::Snapshot& snapshot) {
@@ -172,8 +173,8 @@
       }
     }
     state_ = std::move(state);
-    if (!state_.configuration.empty()) fleet_->Commit(state_.configuration);
-    fleet_->Commit(state_.orders);
+    if (!state_.configuration.empty()) peers_->Commit(state_.configuration);
+    peers_->Commit(state_.orders);
     AdoptRollouts(base::SteadyMillis());
   };
   log.snapshot_state = [this] { return wire::Encode(state_); };
@@ -200,10 +201,10 @@
   control_->OnGone([this](wire::HttpServer::Ticket ticket) { operator_->Gone(ticket); });
   platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
   replica_ = std::make_unique<consensus::Replica>(loop_, std::move(log));
-  auto started = fleet_->Start();
+  auto started = peers_->Start();
   if (!started) return started;
   rollout::Watcher::Options watcher;
-  watcher.self = fleet_->members().self().id;
+  watcher.self = peers_->members().self().id;
   watcher.life = life_;
   watcher.canary_share = rollout::Gate({settings_.canary_share}).CanaryShare();
   watcher_ = std::make_unique<rollout::Watcher>(watcher);
@@ -216,7 +217,7 @@
     resolution.ttl_most_s = std::max<int64_t>(1, static_cast<int64_t>(settings_.ttl_max_s));
     resolution.ttl_s =
         std::min(resolution.ttl_s, std::max<int64_t>(1, static_cast<int64_t>(settings_.ttl_max_s)));
-    directory_ = std::make_unique<directory::Directory>(resolution, &fleet_->members(),
+    directory_ = std::make_unique<directory::Directory>(resolution, &peers_->members(),
                                                         base::SystemSeed(), base::SteadyMillis());
     wire::HttpServer::Options directory_options;
     directory_options.limits = [] { return wire::Limits(); };
@@ -299,18 +300,18 @@
       auto member = wire::Decode<consensus::Member>(payload);
       if (!member) break;
       // A log on disks takes in nobody who has none.
-      const ring::Node* node = fleet_->members().Find(member->address());
+      const ring::Node* node = peers_->members().Find(member->address());
       if (!settings_.data_dir.empty() && (!node || !node->durable)) break;
       if (leading()) {
         replica_->Join(*member);
       } else if (auto leader = replica_->machine().leader();
                  leader && leader->address() != from && leader->address() != member->address()) {
-        fleet_->mesh().Send(leader->address(), wire::Kind::kJoin, *member);
+        peers_->mesh().Send(leader->address(), wire::Kind::kJoin, *member);
       }
       break;
     }
     case wire::Kind::kConfirm:
-      if (auto m = wire::Decode<news::Confirm>(payload)) OnConfirm(from, *m);
+      if (auto m = wire::Decode<dissemination::Confirm>(payload)) OnConfirm(from, *m);
       break;
     case wire::Kind::kQueryReply:
       if (auto m = wire::Decode<diagnosis::Reply>(payload)) {
@@ -337,23 +338,23 @@
   }
 }
 
-void Controller::OnConfirm(const base::Address& from, const news::Confirm& confirm) {
+void Controller::OnConfirm(const base::Address& from, const dissemination::Confirm& confirm) {
   if (settled() && confirms_.size() < 1024) {
     uint64_t token = next_token_++;
     confirms_[token] = {from, confirm.nonce};
     if (replica_->Read(token)) return;
     confirms_.erase(token);
   }
-  news::ConfirmReply reply;
+  dissemination::ConfirmReply reply;
   reply.nonce = confirm.nonce;
   if (auto leader = replica_->machine().LeaderInTouch(base::SteadyMillis()); leader && !leading()) {
     reply.leader_ip = leader->ip;
     reply.leader_port = leader->port;
-  } else if (auto neighbour = fleet_->members().NearestDurable(false); neighbour && !leading()) {
+  } else if (auto neighbour = peers_->members().NearestDurable(false); neighbour && !leading()) {
     reply.leader_ip = neighbour->ip;
     reply.leader_port = neighbour->port;
   }
-  fleet_->mesh().Send(from, wire::Kind::kConfirmReply, reply);
+  peers_->mesh().Send(from, wire::Kind::kConfirmReply, reply);
 }
 
 void Controller::ReadDone(uint64_t token, bool confirmed) {
@@ -363,14 +364,14 @@
   }
   auto at = confirms_.find(token);
   if (at == confirms_.end()) return;
-  news::ConfirmReply reply;
+  dissemination::ConfirmReply reply;
   reply.nonce = at->second.nonce;
   if (confirmed) {
     reply.confirmed = true;
     reply.versions = {state_.configuration.revision(), state_.orders.version(),
                       state_.rollouts.version()};
   }
-  fleet_->mesh().Send(at->second.from, wire::Kind::kConfirmReply, reply);
+  peers_->mesh().Send(at->second.from, wire::Kind::kConfirmReply, reply);
   confirms_.erase(at);
 }
 
@@ -469,7 +470,7 @@
     all.push_back({node.id, node.zone});
     if (node.durable) durable.push_back(all.back());
   };
-  for (const auto& [id, node] : fleet_->members().nodes()) add(node);
+  for (const auto& [id, node] : peers_->members().nodes()) add(node);
   return durable.empty() ? all : durable;
 }
 
@@ -491,7 +492,7 @@
     Note("rollout." + std::string(rollout::StageName(rollout.stage)),
          service + " " + rollout.order.version);
   }
-  fleet_->Commit(state_.rollouts);
+  peers_->Commit(state_.rollouts);
 }
 
 void Controller::ReviewRollouts(base::Millis now) {
@@ -507,7 +508,7 @@
     }
     replica_->Propose(MakeCommand(Command::Kind::kRollout, step));
   }
-  const catalog::Catalog& catalog = fleet_->news().catalog();
+  const catalog::Catalog& catalog = peers_->disseminator().catalog();
   if (catalog.epoch == 0 || now < versions_at_) return;
   versions_at_ = now + kVersionsEveryMs;
   rollout::Step found;
@@ -524,13 +525,13 @@
 void Controller::OnTally(const base::Address& from, const rollout::Tally& tally) {
   base::Millis now = base::SteadyMillis();
   if (!watcher_->OnTally(now, tally) || !tally.asks || !HearsLeader(now)) return;
-  fleet_->mesh().SendDatagram(from, wire::Kind::kTouch,
+  peers_->mesh().SendDatagram(from, wire::Kind::kTouch,
                               rollout::Touch{tally.number, state_.rollouts.version()});
 }
 
 void Controller::TellVotes(base::Millis now) {
   std::vector<rollout::Watcher::InSight> proxies;
-  for (const auto& [id, node] : fleet_->members().nodes()) {
+  for (const auto& [id, node] : peers_->members().nodes()) {
     if (node.program != ring::Program::kProxy || node.state == ring::State::kLeft) continue;
     proxies.push_back({id, node.reachable()});
   }
@@ -538,7 +539,7 @@
     if (leading()) {
       conductor_.OnVote(now, vote);
     } else if (auto leader = replica_->machine().leader()) {
-      fleet_->mesh().Send(leader->address(), wire::Kind::kVote, vote);
+      peers_->mesh().Send(leader->address(), wire::Kind::kVote, vote);
     }
   }
 }
@@ -549,8 +550,8 @@
   if (!replica_->store_reason().empty()) return;
   if (HearsLeader(now)) return;
   join_at_ = now + kJoinEveryMs;
-  for (const base::Address& address : fleet_->Controllers()) {
-    fleet_->mesh().Send(address, wire::Kind::kJoin, replica_->self());
+  for (const base::Address& address : peers_->Controllers()) {
+    peers_->mesh().Send(address, wire::Kind::kJoin, replica_->self());
   }
 }
 
@@ -576,22 +577,22 @@
       replica_->Propose(MakeCommand(Command::Kind::kDuty, *named));
     }
   } else if (auto leader = replica_->machine().leader()) {
-    fleet_->mesh().Send(leader->address(), wire::Kind::kResign, resignation);
+    peers_->mesh().Send(leader->address(), wire::Kind::kResign, resignation);
   }
 }
 
 void Controller::WatchPlatform(base::Millis now) {
   if (leaving_ || platform_->busy() || Idle()) return;
-  if (!fleet_->news().has_catalog() && now >= poll_at_) {
+  if (!peers_->disseminator().has_catalog() && now >= poll_at_) {
     // Nobody has told this node of any list, as after a loss of the whole fleet. Its zone need not
     // wait for a holder: a reading without an epoch gives way to the first one that has one.
     poll_at_ = now + settings_.PollMs();
     platform_->Read([this](base::Result<std::vector<catalog::Server>> read) {
       if (!read) {
         base::Warn("catalog.unread", read.error());
-      } else if (!fleet_->news().has_catalog()) {
+      } else if (!peers_->disseminator().has_catalog()) {
         base::Info("catalog.first_reading", {{"servers", read->size()}});
-        fleet_->Publish({0, 1, std::move(*read)});
+        peers_->Publish({0, 1, std::move(*read)});
       }
       poll_at_ = 0;
     });
@@ -624,14 +625,14 @@
     read_ok_at_ = now;
     if (!HoldsDuty() || watched_epoch_ != state_.duty.epoch) return;
     if (sequence_ > 0 && catalog::SameServers(servers_, *read)) {
-      fleet_->Confirm(watched_epoch_);
+      peers_->Confirm(watched_epoch_);
       return;
     }
     servers_ = std::move(*read);
     ++sequence_;
     base::Info("catalog.changed",
                {{"epoch", watched_epoch_}, {"sequence", sequence_}, {"servers", servers_.size()}});
-    if (!fleet_->Publish({watched_epoch_, sequence_, servers_})) {
+    if (!peers_->Publish({watched_epoch_, sequence_, servers_})) {
       base::Info("catalog.overtaken", {{"epoch", watched_epoch_}});
     }
   });
@@ -650,7 +651,7 @@
       replica_->Leave();
       replica_->TransferLeadership();
     }
-    fleet_->Leave();
+    peers_->Leave();
     control_->SetLeaving(true);
     leave_.Start(loop_, kLeaveMs, [this, now] { End(now); });
   });
@@ -693,7 +694,7 @@
   // The dead are asked too, after the others: a suspicion may be wrong, and if they are silent the
   // answer says so.
   for (bool reachable : {true, false}) {
-    for (const auto& [id, node] : fleet_->members().nodes()) {
+    for (const auto& [id, node] : peers_->members().nodes()) {
       if (node.program != ring::Program::kProxy || node.state == ring::State::kLeft) continue;
       if (!question.zone.empty() && node.zone != question.zone) continue;
       if (node.reachable() == reachable) {
@@ -711,7 +712,7 @@
     if (!inquiries_[i].inquiry.Done(now)) {
       for (const std::string& address : inquiries_[i].inquiry.Next(now)) {
         if (auto to = base::ParseAddress(address)) {
-          fleet_->mesh().Send(*to, wire::Kind::kQuery, inquiries_[i].inquiry.query());
+          peers_->mesh().Send(*to, wire::Kind::kQuery, inquiries_[i].inquiry.query());
         }
       }
       ++i;
@@ -767,8 +768,8 @@
   auto text = [&](const char* key, const std::string& value) { json.Text(key, value); };
   auto number = [&](const char* key, int64_t value) { json.Number(key, value); };
   auto address = [&](uint64_t id) {
-    auto at = fleet_->members().nodes().find(id);
-    return at == fleet_->members().nodes().end() ? "unknown" : at->second.address().ToString();
+    auto at = peers_->members().nodes().find(id);
+    return at == peers_->members().nodes().end() ? "unknown" : at->second.address().ToString();
   };
   std::map<uint32_t, std::string> labels;
   for (const std::string& label : state_.configuration.document().RouteLabels()) {
@@ -904,10 +905,10 @@
   number("revision", state_.configuration.revision());
   w.Key("evacuation");
   w.StartObject();
-  number("version", static_cast<int64_t>(fleet_->news().orders().version()));
+  number("version", static_cast<int64_t>(peers_->disseminator().orders().version()));
   w.Key("zones");
   w.StartArray();
-  for (const std::string& zone : fleet_->news().orders().zones()) w.String(zone.c_str());
+  for (const std::string& zone : peers_->disseminator().orders().zones()) w.String(zone.c_str());
   w.EndArray();
   w.EndObject();
   w.Key("rollouts");
@@ -939,14 +940,14 @@
   w.EndObject();
   w.Key("catalog");
   w.StartObject();
-  number("epoch", static_cast<int64_t>(fleet_->news().catalog().epoch));
-  number("sequence", static_cast<int64_t>(fleet_->news().catalog().sequence));
-  number("servers", static_cast<int64_t>(fleet_->news().catalog().servers.size()));
-  number("age-ms", fleet_->news().catalog_age(now));
+  number("epoch", static_cast<int64_t>(peers_->disseminator().catalog().epoch));
+  number("sequence", static_cast<int64_t>(peers_->disseminator().catalog().sequence));
+  number("servers", static_cast<int64_t>(peers_->disseminator().catalog().servers.size()));
+  number("age-ms", peers_->disseminator().catalog_age(now));
   w.EndObject();
   w.Key("nodes");
   w.StartArray();
-  for (const auto& [id, node] : fleet_->members().nodes()) {
+  for (const auto& [id, node] : peers_->members().nodes()) {
     w.StartObject();
     text("address", node.address().ToString());
     text("program", node.program == ring::Program::kProxy ? "proxy" : "controller");
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -11,9 +11,9 @@
 #include "controller/control_state.h"
 #include "diagnosis/diagnosis.h"
 #include "directory/directory.h"
+#include "dissemination/confirm.h"
+#include "dissemination/peers.h"
 #include "duty/duty.h"
-#include "news/confirm.h"
-#include "news/fleet.h"
 #include "readiness/settings_watch.h"
 #include "rollout/conductor.h"
 #include "rollout/gate.h"
@@ -66,7 +66,7 @@
   void SendOn(wire::HttpServer::Ticket ticket, const std::string& target);
   void OnRequest(wire::HttpServer::Ticket ticket, wire::Message&& request);
   void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
-  void OnConfirm(const base::Address& from, const news::Confirm& confirm);
+  void OnConfirm(const base::Address& from, const dissemination::Confirm& confirm);
   void ReadDone(uint64_t token, bool confirmed);
   void Applied(const consensus::Entry& entry);
   void RoleChanged();
@@ -101,7 +101,7 @@
   std::string settings_path_;
   ControlState state_;
   base::Journal<Event> journal_{64};
-  std::unique_ptr<news::Fleet> fleet_;
+  std::unique_ptr<dissemination::Peers> peers_;
   std::unique_ptr<consensus::Replica> replica_;
   std::unique_ptr<configuration::OperatorApi> operator_;
   std::unique_ptr<wire::HttpServer> control_;
--- a/src/demand/demand.cc
+++ b/src/demand/demand.cc
@@ -7,7 +7,7 @@
 namespace elderkeel::demand {
 namespace {
 constexpr double kMeasureWeight = 0.3;    // of what was measured since the last tick
-constexpr double kPull = 0.08;            // of the mean towards this proxy's own, at each tick
+constexpr double kPullRequest = 0.08;     // of the mean towards this proxy's own, at each tick
 constexpr base::Millis kForgetMs = 5000;  // what was heard of a zone counts for so long
 constexpr base::Millis kLeastMs = 100;    // between two ticks: less measures nothing
 constexpr size_t kMostNames = 256;        // services and zones that a report may name
@@ -44,7 +44,7 @@
     }
     double before = m.smooth;
     m.smooth += kMeasureWeight * (measured - m.smooth);
-    mean = std::max(0.0, mean + m.smooth - before + kPull * (m.smooth - mean));
+    mean = std::max(0.0, mean + m.smooth - before + kPullRequest * (m.smooth - mean));
   }
   known_ = true;
   tick_at_ = now;
--- a/src/news/confirm.cc
+++ b/src/dissemination/confirm.cc
@@ -1,8 +1,8 @@
-#include "news/confirm.h"
+#include "dissemination/confirm.h"
 
 #include <algorithm>
 
-namespace elderkeel::news {
+namespace elderkeel::dissemination {
 namespace {
 constexpr size_t kMaxQuestions = 32;
 }
@@ -35,4 +35,4 @@
          held.rollouts >= wanted_.rollouts;
 }
 
-}  // namespace elderkeel::news
+}  // namespace elderkeel::dissemination
--- a/src/news/confirm.h
+++ b/src/dissemination/confirm.h
@@ -9,9 +9,9 @@
 #include "base/clock.h"
 #include "base/settings.h"
 
-namespace elderkeel::news {
+namespace elderkeel::dissemination {
 
-// Of what the log decides and the news carries: how new it is.
+// Of what the log decides and gossip carries: how new it is.
 struct Versions {
   int64_t revision = 0;     // of the configuration
   uint64_t evacuation = 0;  // of the orders to evacuate zones
@@ -71,4 +71,4 @@
   base::Millis known_at_ = -1;  // when the question was put whose answer is the newest
 };
 
-}  // namespace elderkeel::news
+}  // namespace elderkeel::dissemination
--- a/src/news/exchange.cc
+++ b/src/dissemination/disseminator.cc
@@ -1,34 +1,35 @@
-#include "news/exchange.h"
+#include "dissemination/disseminator.h"
 
 #include <algorithm>
 
-namespace elderkeel::news {
+namespace elderkeel::dissemination {
 namespace {
-constexpr size_t kFanOut = 4;  // of the node that news starts from in a zone
-constexpr size_t kPassOn = 2;  // of a node that heard it from another
-constexpr base::Millis kPullGap = 250;
-constexpr int kUnheard = 3;  // digests without any word from anybody, before it is asked surely
-constexpr base::Millis kSentLately = 500;  // something large is not sent twice in so long
-constexpr size_t kSmall = 4096;            // bytes that may be sent to a peer unasked
-constexpr size_t kSmallServers = 48;       // changed servers that may be sent unasked
-constexpr size_t kHistory = 64;            // steps of the list that are remembered
-constexpr size_t kTouchedLimit = 2048;     // servers that all these steps may name
+constexpr size_t kFanOut = 4;       // of the node that an update starts from in a zone
+constexpr size_t kRelayFanOut = 2;  // of a node that heard it from another
+constexpr base::Millis kPullInterval = 250;
+constexpr int kSilentDigests =
+    3;  // digests without any word from anybody, before it is asked surely
+constexpr base::Millis kResendAfter = 500;  // something large is not sent twice in so long
+constexpr size_t kSmall = 4096;             // bytes that may be sent to a peer unasked
+constexpr size_t kSmallServers = 48;        // changed servers that may be sent unasked
+constexpr size_t kHistory = 64;             // steps of the list that are remembered
+constexpr size_t kTouchedLimit = 2048;      // servers that all these steps may name
 }  // namespace
 
-Exchange::Exchange(Options options, const ring::Membership* members, base::Millis now)
+Disseminator::Disseminator(Options options, const ring::Membership* members, base::Millis now)
     : options_(options),
       members_(members),
       random_(options.seed),
       digest_at_(now),
-      heard_at_(now) {}
+      received_at_(now) {}
 
-Exchange::Effects Exchange::Take() {
+Disseminator::Effects Disseminator::Take() {
   Effects taken = std::move(out_);
   out_ = Effects();
   return taken;
 }
 
-Digest Exchange::OwnDigest(base::Millis now) const {
+Digest Disseminator::OwnDigest(base::Millis now) const {
   Digest digest;
   digest.revision = revision_;
   digest.epoch = catalog_.epoch;
@@ -39,7 +40,7 @@
   return digest;
 }
 
-void Exchange::Tick(base::Millis now) {
+void Disseminator::Tick(base::Millis now) {
   if (now < digest_at_) return;
   digest_at_ = now + options_.digest_every;
   std::vector<const ring::Node*> near, all = members_->Others();
@@ -52,10 +53,10 @@
   Digest digest = OwnDigest(now);
   digest.answer = true;
   out_.digests.push_back({from[random_.Below(from.size())]->address(), digest});
-  if (now - heard_at_ > options_.digest_every * kUnheard) AskSurely(now);
+  if (now - received_at_ > options_.digest_every * kSilentDigests) RequestSyncReliably(now);
 }
 
-std::vector<const ring::Node*> Exchange::Neighbours() const {
+std::vector<const ring::Node*> Disseminator::ZonePeers() const {
   std::vector<const ring::Node*> neighbours;
   const ring::Node& self = members_->self();
   for (const auto& [id, node] : members_->nodes()) {
@@ -67,28 +68,30 @@
 }
 
 // A machine whose link is full loses datagrams, its heartbeats too: the others hold it for lost,
-// and no news comes any more, though it serves on. A connection gets through where datagrams don't.
-void Exchange::AskSurely(base::Millis now) {
-  heard_at_ = now;  // not at every turn
+// and no update comes any more, though it serves on. A connection gets through where datagrams
+// don't.
+void Disseminator::RequestSyncReliably(base::Millis now) {
+  received_at_ = now;  // not at every turn
   Digest digest = OwnDigest(now);
-  digest.answer = digest.sure = true;
+  digest.answer = digest.reliable = true;
   // A controller near by, or any node of the zone; also one that is held for lost from here.
   std::vector<const ring::Node*> core, near;
-  for (const ring::Node* node : Neighbours()) (node->durable ? core : near).push_back(node);
+  for (const ring::Node* node : ZonePeers()) (node->durable ? core : near).push_back(node);
   const auto& from = core.empty() ? near : core;
   if (!from.empty()) out_.digests.push_back({from[random_.Below(from.size())]->address(), digest});
 }
 
-void Exchange::AskFor(base::Millis now, const base::Address& from, bool whole_config) {
+void Disseminator::RequestMissing(base::Millis now, const base::Address& from, bool whole_config) {
   if (now < pull_at_) return;
-  pull_at_ = now + kPullGap;
+  pull_at_ = now + kPullInterval;
   // Asking as one that has nothing brings the whole document.
-  out_.pulls.push_back({from, Pull{whole_config ? 0 : revision_, catalog_.epoch, catalog_.sequence,
-                                   orders_.version(), rollouts_.version(), exact_}});
+  out_.pulls.push_back(
+      {from, PullRequest{whole_config ? 0 : revision_, catalog_.epoch, catalog_.sequence,
+                         orders_.version(), rollouts_.version(), exact_}});
 }
 
-void Exchange::OnDigest(base::Millis now, const base::Address& from, const Digest& digest) {
-  heard_at_ = now;
+void Disseminator::OnDigest(base::Millis now, const base::Address& from, const Digest& digest) {
+  received_at_ = now;
   if (digest.epoch == catalog_.epoch && digest.sequence == catalog_.sequence && has_catalog() &&
       digest.catalog_age_ms >= 0) {
     read_at_ = std::max(read_at_, now - digest.catalog_age_ms);
@@ -105,16 +108,16 @@
     told |= !SendCatalog(now, from, digest.epoch, digest.sequence, true, false);
   }
   if (digest.evacuation < orders_.version()) out_.evacuations.push_back({from, {orders_}});
-  if (we_miss) AskFor(now, from, false);
+  if (we_miss) RequestMissing(now, from, false);
   // What is too large to be sent unasked is asked for by a peer that sees this node's digest.
   if (digest.answer || told) {
     Digest own = OwnDigest(now);
-    own.sure = digest.sure;
+    own.reliable = digest.reliable;
     out_.digests.push_back({from, own});
   }
 }
 
-void Exchange::OnPull(base::Millis now, const base::Address& from, const Pull& pull) {
+void Disseminator::OnPull(base::Millis now, const base::Address& from, const PullRequest& pull) {
   if (rollouts_.version() > pull.rollouts) out_.rollouts.push_back({from, {rollouts_}});
   if (revision_ > pull.revision) SendConfig(now, from, pull.revision, true);
   bool truer =
@@ -126,32 +129,33 @@
   if (orders_.version() > pull.evacuation) out_.evacuations.push_back({from, {orders_}});
 }
 
-bool Exchange::SentLately(base::Millis now, const base::Address& to, uint64_t what) {
+bool Disseminator::RecentlySent(base::Millis now, const base::Address& to, uint64_t what) {
   Sent& sent = sent_[to];
-  if (sent.what == what && now - sent.at < kSentLately) return true;
+  if (sent.what == what && now - sent.at < kResendAfter) return true;
   sent = {now, what};
   return false;
 }
 
-bool Exchange::SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked) {
+bool Disseminator::SendConfig(base::Millis now, const base::Address& to, int64_t peer_has,
+                              bool asked) {
   if (revision_ == 0) return true;
   bool patch = !patch_.empty() && peer_has == patch_base_;
   const std::string& body = patch ? patch_ : document_.text();
   if (body.size() > kSmall) {
     if (!asked) return false;
-    if (SentLately(now, to, static_cast<uint64_t>(revision_) * 2)) return true;
+    if (RecentlySent(now, to, static_cast<uint64_t>(revision_) * 2)) return true;
   }
-  out_.configs.push_back({to, ConfigNews{revision_, patch ? patch_base_ : 0, body}});
+  out_.configs.push_back({to, ConfigurationUpdate{revision_, patch ? patch_base_ : 0, body}});
   return true;
 }
 
-bool Exchange::SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch,
-                           uint64_t sequence, bool exact, bool asked) {
-  CatalogNews news;
-  news.epoch = catalog_.epoch;
-  news.sequence = catalog_.sequence;
-  news.exact = exact_;
-  news.age_ms = static_cast<int32_t>(std::min<base::Millis>(catalog_age(now), INT32_MAX));
+bool Disseminator::SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch,
+                               uint64_t sequence, bool exact, bool asked) {
+  EndpointUpdate update;
+  update.epoch = catalog_.epoch;
+  update.sequence = catalog_.sequence;
+  update.exact = exact_;
+  update.age_ms = static_cast<int32_t>(std::min<base::Millis>(catalog_age(now), INT32_MAX));
   // The steps from what the peer has, if they are remembered.
   size_t first = history_.size();
   for (size_t i = history_.size(); exact && exact_ && i-- > 0;) {
@@ -161,9 +165,9 @@
     }
   }
   if (first < history_.size()) {
-    news.whole = false;
-    news.base_epoch = epoch;
-    news.base_sequence = sequence;
+    update.whole = false;
+    update.base_epoch = epoch;
+    update.base_sequence = sequence;
     std::set<std::string> touched;
     for (size_t i = first; i < history_.size(); ++i) {
       touched.insert(history_[i].touched.begin(), history_[i].touched.end());
@@ -173,33 +177,33 @@
           catalog_.servers.begin(), catalog_.servers.end(), id,
           [](const catalog::Server& server, const std::string& want) { return server.id < want; });
       if (at != catalog_.servers.end() && at->id == id) {
-        news.servers.push_back(*at);
+        update.servers.push_back(*at);
       } else {
-        news.gone.push_back(id);
+        update.gone.push_back(id);
       }
     }
   } else if (!asked && catalog_.servers.size() > kSmallServers) {
     return false;  // before the whole list is copied
   } else {
-    news.servers = catalog_.servers;
+    update.servers = catalog_.servers;
   }
-  if (news.servers.size() + news.gone.size() > kSmallServers) {
+  if (update.servers.size() + update.gone.size() > kSmallServers) {
     if (!asked) return false;
-    if (SentLately(now, to, catalog_.epoch << 32 | catalog_.sequence << 1 | 1)) return true;
+    if (RecentlySent(now, to, catalog_.epoch << 32 | catalog_.sequence << 1 | 1)) return true;
   }
-  for (catalog::Server& server : news.servers) {
+  for (catalog::Server& server : update.servers) {
     server.warmup_left_ms = static_cast<int32_t>(std::max<base::Millis>(0, server.warm_at - now));
   }
-  out_.catalogs.push_back({to, std::move(news)});
+  out_.catalogs.push_back({to, std::move(update)});
   return true;
 }
 
-bool Exchange::Elsewhere(const base::Address& from) const {
+bool Disseminator::InOtherZone(const base::Address& from) const {
   const ring::Node* node = members_->Find(from);
   return node && node->zone != members_->self().zone;
 }
 
-std::vector<const ring::Node*> Exchange::Audience(bool origin, size_t near_count) {
+std::vector<const ring::Node*> Disseminator::ForwardTargets(bool origin, size_t near_count) {
   const std::string& zone = members_->self().zone;
   std::vector<const ring::Node*> near;
   std::map<std::string, std::vector<const ring::Node*>> far, far_core;
@@ -226,11 +230,11 @@
   return audience;
 }
 
-void Exchange::Pass(base::Millis now, Topic topic, const base::Address* from) {
+void Disseminator::Forward(base::Millis now, Topic topic, const base::Address* from) {
   bool origin = from == nullptr && topic == Topic::kCatalog && catalog_.epoch > 0;
-  bool first_here = from == nullptr || Elsewhere(*from);
+  bool first_here = from == nullptr || InOtherZone(*from);
   Digest announce = OwnDigest(now);
-  for (const ring::Node* node : Audience(origin, first_here ? kFanOut : kPassOn)) {
+  for (const ring::Node* node : ForwardTargets(origin, first_here ? kFanOut : kRelayFanOut)) {
     if (from && node->address() == *from) continue;
     bool sent = true;
     switch (topic) {
@@ -252,28 +256,29 @@
   }
 }
 
-void Exchange::OnConfig(base::Millis now, const base::Address& from, const ConfigNews& news) {
-  heard_at_ = now;
-  if (news.revision <= revision_) return;
-  if (news.base != 0) {
+void Disseminator::OnConfig(base::Millis now, const base::Address& from,
+                            const ConfigurationUpdate& update) {
+  received_at_ = now;
+  if (update.revision <= revision_) return;
+  if (update.base != 0) {
     // What a controller applied was checked there; it is checked no second time.
-    if (news.base != revision_ || document_.empty() || !document_.Patch(news.body).empty()) {
-      AskFor(now, from, true);
+    if (update.base != revision_ || document_.empty() || !document_.Patch(update.body).empty()) {
+      RequestMissing(now, from, true);
       return;
     }
     patch_base_ = revision_;
-    patch_ = news.body;
+    patch_ = update.body;
   } else {
-    document_ = configuration::IndexedDocument(news.body);
+    document_ = configuration::IndexedDocument(update.body);
     patch_base_ = 0;
     patch_.clear();
   }
-  revision_ = news.revision;
+  revision_ = update.revision;
   out_.config_adopted = true;
-  Pass(now, Topic::kConfiguration, &from);
+  Forward(now, Topic::kConfiguration, &from);
 }
 
-void Exchange::Commit(base::Millis now, const configuration::Register& state) {
+void Disseminator::Commit(base::Millis now, const configuration::Register& state) {
   if (state.revision() <= revision_) return;
   bool patch = state.base() != 0 && !state.patch().empty();
   // Its own document follows the patch as a proxy's does: taking the other one's text would cost as
@@ -287,58 +292,59 @@
   out_.config_adopted = true;
   // Every controller applies the log by itself; one of a zone tells all of it.
   if (!members_->FirstOfZone()) {
-    Pass(now, Topic::kConfiguration, nullptr);
+    Forward(now, Topic::kConfiguration, nullptr);
     return;
   }
-  for (const ring::Node* node : Neighbours()) {
+  for (const ring::Node* node : ZonePeers()) {
     if (node->program == ring::Program::kProxy) SendConfig(now, node->address(), patch_base_, true);
   }
 }
 
-void Exchange::Commit(const evacuation::Orders& orders) {
+void Disseminator::Commit(const evacuation::Orders& orders) {
   if (orders.version() <= orders_.version()) return;
   orders_ = orders;
   out_.evacuation_adopted = true;
-  for (const ring::Node* node : Neighbours()) {
+  for (const ring::Node* node : ZonePeers()) {
     out_.evacuations.push_back({node->address(), {orders_}});
   }
 }
 
-void Exchange::OnEvacuation(base::Millis now, const base::Address& from,
-                            const EvacuationNews& news) {
-  if (news.orders.version() <= orders_.version()) return;
-  orders_ = news.orders;
+void Disseminator::OnEvacuation(base::Millis now, const base::Address& from,
+                                const ZoneDrainUpdate& update) {
+  if (update.orders.version() <= orders_.version()) return;
+  orders_ = update.orders;
   out_.evacuation_adopted = true;
-  Pass(now, Topic::kEvacuation, &from);
+  Forward(now, Topic::kEvacuation, &from);
 }
 
 // Every controller tells its own zone; each of its nodes passes it on once.
-void Exchange::Commit(const rollout::Rollouts& rollouts) {
+void Disseminator::Commit(const rollout::Rollouts& rollouts) {
   if (rollouts.version() <= rollouts_.version()) return;
   rollouts_ = rollouts;
   out_.rollouts_adopted = true;
-  for (const ring::Node* node : Neighbours()) {
+  for (const ring::Node* node : ZonePeers()) {
     if (node->program == ring::Program::kProxy) {
       out_.rollouts.push_back({node->address(), {rollouts_}});
     }
   }
 }
 
-void Exchange::OnRollouts(base::Millis now, const base::Address& from, const RolloutNews& news) {
-  heard_at_ = now;
-  if (news.rollouts.version() <= rollouts_.version()) return;
-  rollouts_ = news.rollouts;
+void Disseminator::OnRollouts(base::Millis now, const base::Address& from,
+                              const RolloutUpdate& update) {
+  received_at_ = now;
+  if (update.rollouts.version() <= rollouts_.version()) return;
+  rollouts_ = update.rollouts;
   out_.rollouts_adopted = true;
-  Pass(now, Topic::kRollouts, &from);
+  Forward(now, Topic::kRollouts, &from);
 }
 
-void Exchange::OnRolloutVersion(base::Millis now, const base::Address& from, uint64_t version) {
-  heard_at_ = now;
-  if (version > rollouts_.version()) AskFor(now, from, false);
+void Disseminator::OnRolloutVersion(base::Millis now, const base::Address& from, uint64_t version) {
+  received_at_ = now;
+  if (version > rollouts_.version()) RequestMissing(now, from, false);
 }
 
 // Takes another list in place of this one, and remembers the step if both are exact.
-void Exchange::Replace(catalog::Catalog catalog, bool exact) {
+void Disseminator::Replace(catalog::Catalog catalog, bool exact) {
   if (exact && exact_ && has_catalog()) {
     history_.push_back({catalog_.epoch, catalog_.sequence,
                         catalog::Differences(catalog_.servers, catalog.servers)});
@@ -356,12 +362,12 @@
   out_.catalog_adopted = true;
 }
 
-bool Exchange::Publish(base::Millis now, catalog::Catalog catalog) {
+bool Disseminator::Publish(base::Millis now, catalog::Catalog catalog) {
   if (has_catalog() && !catalog.NewerThan(catalog_.epoch, catalog_.sequence)) return false;
   bool vouched = catalog.epoch > 0;
   Replace(std::move(catalog), vouched);
   read_at_ = now;
-  Pass(now, Topic::kCatalog, nullptr);
+  Forward(now, Topic::kCatalog, nullptr);
   if (vouched) return true;
   for (const ring::Node* node : members_->Others()) {
     if (node->zone == members_->self().zone) SendCatalog(now, node->address(), 0, 0, false, true);
@@ -369,17 +375,17 @@
   return true;
 }
 
-void Exchange::Confirm(base::Millis now, uint64_t epoch) {
+void Disseminator::Confirm(base::Millis now, uint64_t epoch) {
   if (epoch != catalog_.epoch) return;
   read_at_ = now;
   // One node of each other zone hears what the newest is: a message that was lost on its way there
   // would else wait for a digest exchange that happens to cross zones.
-  for (const ring::Node* node : Audience(true, 0)) {
+  for (const ring::Node* node : ForwardTargets(true, 0)) {
     out_.digests.push_back({node->address(), OwnDigest(now)});
   }
 }
 
-void Exchange::AdoptOwnReading(base::Millis now, std::vector<catalog::Server> servers) {
+void Disseminator::AdoptOwnReading(base::Millis now, std::vector<catalog::Server> servers) {
   if (has_catalog() && catalog::SameServers(catalog_.servers, servers)) {
     read_at_ = now;
     return;
@@ -388,51 +394,53 @@
   read_at_ = now;
 }
 
-void Exchange::OnCatalog(base::Millis now, const base::Address& from, const CatalogNews& news) {
-  heard_at_ = now;
-  catalog::Catalog offered{news.epoch, news.sequence, {}};
+void Disseminator::OnCatalog(base::Millis now, const base::Address& from,
+                             const EndpointUpdate& update) {
+  received_at_ = now;
+  catalog::Catalog offered{update.epoch, update.sequence, {}};
   bool newer = offered.NewerThan(catalog_.epoch, catalog_.sequence);
   // The holder's own words replace a reading that this node made for itself meanwhile.
-  bool truer = news.exact && !exact_ && news.whole && news.epoch == catalog_.epoch &&
-               news.sequence == catalog_.sequence;
+  bool truer = update.exact && !exact_ && update.whole && update.epoch == catalog_.epoch &&
+               update.sequence == catalog_.sequence;
   if (!newer && !truer && has_catalog()) return;
   auto anchored = [now](catalog::Server server) {
     server.Anchor(now);
     return server;
   };
-  if (news.whole) {
-    for (const catalog::Server& server : news.servers) offered.servers.push_back(anchored(server));
+  if (update.whole) {
+    for (const catalog::Server& server : update.servers)
+      offered.servers.push_back(anchored(server));
   } else {
-    if (!has_catalog() || !exact_ || news.base_epoch != catalog_.epoch ||
-        news.base_sequence != catalog_.sequence) {
-      AskFor(now, from, false);
+    if (!has_catalog() || !exact_ || update.base_epoch != catalog_.epoch ||
+        update.base_sequence != catalog_.sequence) {
+      RequestMissing(now, from, false);
       return;
     }
     std::map<std::string, catalog::Server> changed;
-    for (const catalog::Server& server : news.servers) changed[server.id] = anchored(server);
-    std::set<std::string> gone(news.gone.begin(), news.gone.end());
+    for (const catalog::Server& server : update.servers) changed[server.id] = anchored(server);
+    std::set<std::string> gone(update.gone.begin(), update.gone.end());
     for (const catalog::Server& server : catalog_.servers) {
       if (gone.count(server.id)) continue;
       changed.emplace(server.id, server);  // keeps what changed
     }
     for (auto& [id, server] : changed) offered.servers.push_back(std::move(server));
   }
-  Replace(std::move(offered), news.exact);
-  read_at_ = now - std::max<int32_t>(0, news.age_ms);
-  Pass(now, Topic::kCatalog, &from);
+  Replace(std::move(offered), update.exact);
+  read_at_ = now - std::max<int32_t>(0, update.age_ms);
+  Forward(now, Topic::kCatalog, &from);
 }
 
-void Exchange::OnHeard(base::Millis now, const ring::Node& node) {
+void Disseminator::OnHeard(base::Millis now, const ring::Node& node) {
   // By those that kept a hint; what it missed it then asks for, once.
   if (hints_.erase(node.id) == 0) return;
   out_.digests.push_back({node.address(), OwnDigest(now)});
 }
 
-void Exchange::OnLost(const ring::Node& node) {
+void Disseminator::OnLost(const ring::Node& node) {
   if (node.state == ring::State::kLeft) return;
   for (const ring::Node* watcher : members_->WatchersOf(node.id)) {
     if (watcher->id == members_->self().id) hints_.insert(node.id);
   }
 }
 
-}  // namespace elderkeel::news
+}  // namespace elderkeel::dissemination
--- a/src/news/exchange.h
+++ b/src/dissemination/disseminator.h
@@ -18,7 +18,7 @@
 #include "ring/membership.h"
 #include "rollout/rollouts.h"
 
-namespace elderkeel::news {
+namespace elderkeel::dissemination {
 
 // What a node has, in a few bytes; two nodes that compare them find every gap.
 struct Digest {
@@ -29,16 +29,16 @@
   uint64_t rollouts = 0;
   int32_t catalog_age_ms = -1;  // since the platform was last read for it; -1 for never
   bool answer = false;          // the sender would like the receiver's digest
-  bool sure = false;            // sent, and to be answered, over a connection
+  bool reliable = false;        // sent, and to be answered, over a connection
   demand::Report demand;        // rides along; a proxy's alone
   template <class A>
   void serialize(A& a) {
-    a(revision, epoch, sequence, evacuation, rollouts, catalog_age_ms, answer, sure, demand);
+    a(revision, epoch, sequence, evacuation, rollouts, catalog_age_ms, answer, reliable, demand);
   }
 };
 
 // Asks for what the receiver has beyond this.
-struct Pull {
+struct PullRequest {
   int64_t revision = 0;
   uint64_t epoch = 0;
   uint64_t sequence = 0;
@@ -52,7 +52,7 @@
 };
 
 // A committed configuration: whole, or the patch that leads to it from `base`.
-struct ConfigNews {
+struct ConfigurationUpdate {
   int64_t revision = 0;
   int64_t base = 0;
   std::string body;
@@ -63,7 +63,7 @@
 };
 
 // The list whole, or what changed in it since (base_epoch, base_sequence).
-struct CatalogNews {
+struct EndpointUpdate {
   uint64_t epoch = 0;
   uint64_t sequence = 0;
   bool whole = true;
@@ -80,7 +80,7 @@
 };
 
 // Which zones are evacuated, by the log's order.
-struct EvacuationNews {
+struct ZoneDrainUpdate {
   evacuation::Orders orders;
   template <class A>
   void serialize(A& a) {
@@ -89,7 +89,7 @@
 };
 
 // Which versions are in force and which roll-outs are under way, by the log's order.
-struct RolloutNews {
+struct RolloutUpdate {
   rollout::Rollouts rollouts;
   template <class A>
   void serialize(A& a) {
@@ -97,13 +97,13 @@
   }
 };
 
-// How news reaches every node, as a pure state machine: a node passes what is new to it to a few
+// How updates reach every node, as a pure state machine: a node passes what is new to it to a few
 // others, one for each zone that has no other source and some of its own zone, and mends what was
 // missed by comparing digests with a random peer. What is small is sent at once; what is large,
 // such as a list without a base to build on, is announced by a digest, so that each node takes it
 // once. The watchers of a missing node remember that it misses something and tell it when it is
 // heard again. Within one life nothing older replaces anything newer.
-class Exchange {
+class Disseminator {
  public:
   enum class Topic : uint8_t { kConfiguration, kCatalog, kEvacuation, kRollouts };
   struct Options {
@@ -113,11 +113,11 @@
   };
   struct Effects {
     std::vector<std::pair<base::Address, Digest>> digests;
-    std::vector<std::pair<base::Address, Pull>> pulls;
-    std::vector<std::pair<base::Address, ConfigNews>> configs;
-    std::vector<std::pair<base::Address, CatalogNews>> catalogs;
-    std::vector<std::pair<base::Address, EvacuationNews>> evacuations;
-    std::vector<std::pair<base::Address, RolloutNews>> rollouts;
+    std::vector<std::pair<base::Address, PullRequest>> pulls;
+    std::vector<std::pair<base::Address, ConfigurationUpdate>> configs;
+    std::vector<std::pair<base::Address, EndpointUpdate>> catalogs;
+    std::vector<std::pair<base::Address, ZoneDrainUpdate>> evacuations;
+    std::vector<std::pair<base::Address, RolloutUpdate>> rollouts;
     bool config_adopted = false;
     bool catalog_adopted = false;
     bool evacuation_adopted = false;
@@ -129,17 +129,17 @@
     }
   };
 
-  Exchange(Options options, const ring::Membership* members, base::Millis now);
+  Disseminator(Options options, const ring::Membership* members, base::Millis now);
 
   void Tick(base::Millis now);
   // When the next tick has something to do.
   base::Millis DueAt() const { return digest_at_; }
   void OnDigest(base::Millis now, const base::Address& from, const Digest& digest);
-  void OnPull(base::Millis now, const base::Address& from, const Pull& pull);
-  void OnConfig(base::Millis now, const base::Address& from, const ConfigNews& news);
-  void OnCatalog(base::Millis now, const base::Address& from, const CatalogNews& news);
-  void OnEvacuation(base::Millis now, const base::Address& from, const EvacuationNews& news);
-  void OnRollouts(base::Millis now, const base::Address& from, const RolloutNews& news);
+  void OnPull(base::Millis now, const base::Address& from, const PullRequest& pull);
+  void OnConfig(base::Millis now, const base::Address& from, const ConfigurationUpdate& update);
+  void OnCatalog(base::Millis now, const base::Address& from, const EndpointUpdate& update);
+  void OnEvacuation(base::Millis now, const base::Address& from, const ZoneDrainUpdate& update);
+  void OnRollouts(base::Millis now, const base::Address& from, const RolloutUpdate& update);
   // A node that was heard has this version of the roll-outs; if that is newer, it is asked for it.
   void OnRolloutVersion(base::Millis now, const base::Address& from, uint64_t version);
   // A node was heard for the first time, or again.
@@ -152,12 +152,12 @@
   void Commit(const rollout::Rollouts& rollouts);
   // From this node's own reading of the platform, as the holder of the duty.
   // Epoch 0 is a reading that no holder vouches for; it stays in the zone.
-  // False if news of a later holder is here already: this one was replaced and does not know it
-  // yet.
+  // False if an update of a later holder is here already: this one was replaced and does not know
+  // it yet.
   bool Publish(base::Millis now, catalog::Catalog catalog);
   // The holder of `epoch` read the list and found it unchanged.
   void Confirm(base::Millis now, uint64_t epoch);
-  // A reading for this node alone, when no news of the list comes any more.
+  // A reading for this node alone, when no update of the list comes any more.
   void AdoptOwnReading(base::Millis now, std::vector<catalog::Server> servers);
 
   Effects Take();
@@ -186,17 +186,17 @@
   bool SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
   bool SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch, uint64_t sequence,
                    bool exact, bool asked);
-  bool SentLately(base::Millis now, const base::Address& to, uint64_t what);
-  void AskFor(base::Millis now, const base::Address& from, bool whole_config);
+  bool RecentlySent(base::Millis now, const base::Address& to, uint64_t what);
+  void RequestMissing(base::Millis now, const base::Address& from, bool whole_config);
   void Replace(catalog::Catalog catalog, bool exact);
   // Whom to tell at once of something new.
-  std::vector<const ring::Node*> Audience(bool origin, size_t near_count);
-  // `from`: who told this node; none if the news starts here.
-  void Pass(base::Millis now, Topic topic, const base::Address* from);
-  bool Elsewhere(const base::Address& from) const;
+  std::vector<const ring::Node*> ForwardTargets(bool origin, size_t near_count);
+  // `from`: who told this node; none if the update originates here.
+  void Forward(base::Millis now, Topic topic, const base::Address* from);
+  bool InOtherZone(const base::Address& from) const;
   // Others of the zone; those held for lost too: they may only be hard to hear.
-  std::vector<const ring::Node*> Neighbours() const;
-  void AskSurely(base::Millis now);
+  std::vector<const ring::Node*> ZonePeers() const;
+  void RequestSyncReliably(base::Millis now);
 
   Options options_;
   const ring::Membership* members_;
@@ -213,8 +213,8 @@
   base::Millis read_at_ = -1;
   base::Millis digest_at_ = 0;
   base::Millis pull_at_ = 0;
-  base::Millis heard_at_ = 0;  // when any peer's news or digest last came
-  std::set<uint64_t> hints_;   // nodes that missed something, among those that this one watches
+  base::Millis received_at_ = 0;  // when any peer's updates or digest last came
+  std::set<uint64_t> hints_;      // nodes that missed something, among those that this one watches
   struct Sent {
     base::Millis at = 0;
     uint64_t what = 0;
@@ -223,4 +223,4 @@
   Effects out_;
 };
 
-}  // namespace elderkeel::news
+}  // namespace elderkeel::dissemination
--- a/src/news/fleet.cc
+++ b/src/dissemination/peers.cc
@@ -1,11 +1,11 @@
-#include "news/fleet.h"
+#include "dissemination/peers.h"
 
 #include <algorithm>
 
 #include "base/log.h"
 #include "base/random.h"
 
-namespace elderkeel::news {
+namespace elderkeel::dissemination {
 namespace {
 
 constexpr base::Millis kTickMs = 50;
@@ -41,8 +41,8 @@
   return seeds;
 }
 
-Exchange::Options NewsOptions(const base::Settings& settings) {
-  Exchange::Options options;
+Disseminator::Options DisseminatorOptions(const base::Settings& settings) {
+  Disseminator::Options options;
   options.seed = base::SystemSeed();
   options.digest_every = settings.digest_ms;
   return options;
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-Fleet::Fleet(base::Loop* loop, const base::Settings& settings, ring::Program program, Hooks hooks)
+Peers::Peers(base::Loop* loop, const base::Settings& settings, ring::Program program, Hooks hooks)
     : loop_(loop),
       settings_(settings),
       hooks_(std::move(hooks)),
@@ -60,77 +60,77 @@
             }),
       members_(MemberOptions(settings, program), SeedNodes(settings, program),
                base::SteadyMillis()),
-      exchange_(NewsOptions(settings), &members_, base::SteadyMillis()) {}
+      disseminator_(DisseminatorOptions(settings), &members_, base::SteadyMillis()) {}
 
-base::Result<bool> Fleet::Start() {
+base::Result<bool> Peers::Start() {
   auto listening = mesh_.Listen();
   if (!listening) return listening;
   Tick();
   return true;
 }
 
-void Fleet::Tick() {
+void Peers::Tick() {
   base::Millis now = base::SteadyMillis();
   members_.Tick(now);
-  exchange_.Tick(now);
+  disseminator_.Tick(now);
   tick_at_ = 0;
   Pump();
 }
 
-void Fleet::Schedule() {
+void Peers::Schedule() {
   base::Millis now = base::SteadyMillis();
-  base::Millis due = std::min(members_.DueAt(), exchange_.DueAt());
+  base::Millis due = std::min(members_.DueAt(), disseminator_.DueAt());
   base::Millis wait = base::UntilMultiple(now, std::max<base::Millis>(due - now, 1), kTickMs);
   if (tick_at_ != 0 && tick_at_ <= now + wait) return;
   tick_at_ = now + wait;
   tick_.Start(loop_, wait, [this] { Tick(); });
 }
 
-void Fleet::Leave() {
+void Peers::Leave() {
   members_.Leave(base::SteadyMillis());
   Pump();
 }
 
-void Fleet::Commit(const configuration::Register& state) {
-  exchange_.Commit(base::SteadyMillis(), state);
+void Peers::Commit(const configuration::Register& state) {
+  disseminator_.Commit(base::SteadyMillis(), state);
   Pump();
 }
-void Fleet::Commit(const evacuation::Orders& orders) {
-  exchange_.Commit(orders);
+void Peers::Commit(const evacuation::Orders& orders) {
+  disseminator_.Commit(orders);
   Pump();
 }
-void Fleet::Commit(const rollout::Rollouts& rollouts) {
-  exchange_.Commit(rollouts);
+void Peers::Commit(const rollout::Rollouts& rollouts) {
+  disseminator_.Commit(rollouts);
   Pump();
 }
-void Fleet::NoteRolloutVersion(const base::Address& from, uint64_t version) {
-  exchange_.OnRolloutVersion(base::SteadyMillis(), from, version);
+void Peers::NoteRolloutVersion(const base::Address& from, uint64_t version) {
+  disseminator_.OnRolloutVersion(base::SteadyMillis(), from, version);
   Pump();
 }
-void Fleet::AskDigest(const base::Address& to) {
-  Digest digest = exchange_.OwnDigest(base::SteadyMillis());
+void Peers::AskDigest(const base::Address& to) {
+  Digest digest = disseminator_.OwnDigest(base::SteadyMillis());
   digest.answer = true;
   SendDigest(to, std::move(digest));
 }
-void Fleet::SetReady(bool ready) {
+void Peers::SetReady(bool ready) {
   members_.SetReady(ready);
   Pump();
 }
-bool Fleet::Publish(catalog::Catalog catalog) {
-  bool taken = exchange_.Publish(base::SteadyMillis(), std::move(catalog));
+bool Peers::Publish(catalog::Catalog catalog) {
+  bool taken = disseminator_.Publish(base::SteadyMillis(), std::move(catalog));
   Pump();
   return taken;
 }
-void Fleet::Confirm(uint64_t epoch) {
-  exchange_.Confirm(base::SteadyMillis(), epoch);
+void Peers::Confirm(uint64_t epoch) {
+  disseminator_.Confirm(base::SteadyMillis(), epoch);
   Pump();
 }
-void Fleet::AdoptOwnReading(std::vector<catalog::Server> servers) {
-  exchange_.AdoptOwnReading(base::SteadyMillis(), std::move(servers));
+void Peers::AdoptOwnReading(std::vector<catalog::Server> servers) {
+  disseminator_.AdoptOwnReading(base::SteadyMillis(), std::move(servers));
   Pump();
 }
 
-std::vector<base::Address> Fleet::Controllers() const {
+std::vector<base::Address> Peers::Controllers() const {
   std::vector<base::Address> near, far;
   for (const ring::Node* node : members_.Others()) {
     if (node->program != ring::Program::kController) continue;
@@ -151,7 +151,7 @@
   return near;
 }
 
-void Fleet::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
+void Peers::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
   base::Millis now = base::SteadyMillis();
   // A frame that is whole and yet can't be read comes from a peer of another make.
   auto take = [&](auto message, auto use) {
@@ -159,7 +159,8 @@
     if (read) {
       use(*read);
     } else {
-      base::Warn("message.dropped", base::Error{"news.read", from.ToString(), "can't be read"});
+      base::Warn("message.dropped",
+                 base::Error{"dissemination.read", from.ToString(), "can't be read"});
     }
   };
   switch (kind) {
@@ -175,28 +176,28 @@
     case wire::Kind::kSummary:
       take(ring::Summary(), [&](const auto& m) { members_.OnSummary(now, from, m); });
       break;
-    case wire::Kind::kEvacuationNews:
-      take(EvacuationNews(), [&](const auto& m) { exchange_.OnEvacuation(now, from, m); });
+    case wire::Kind::kZoneDrainUpdate:
+      take(ZoneDrainUpdate(), [&](const auto& m) { disseminator_.OnEvacuation(now, from, m); });
       break;
-    case wire::Kind::kRolloutNews:
-      take(RolloutNews(), [&](const auto& m) { exchange_.OnRollouts(now, from, m); });
+    case wire::Kind::kRolloutUpdate:
+      take(RolloutUpdate(), [&](const auto& m) { disseminator_.OnRollouts(now, from, m); });
       break;
     case wire::Kind::kDigest:
       take(Digest(), [&](const auto& m) {
         // Levelling takes two: what is told back is what was here before the other's was heard.
-        if (m.answer && hooks_.demand_told) told_back_ = {from, hooks_.demand_told()};
-        if (hooks_.demand_heard && !m.demand.empty()) hooks_.demand_heard(m.demand);
-        exchange_.OnDigest(now, from, m);
+        if (m.answer && hooks_.load_report) reply_report_ = {from, hooks_.load_report()};
+        if (hooks_.load_report_received && !m.demand.empty()) hooks_.load_report_received(m.demand);
+        disseminator_.OnDigest(now, from, m);
       });
       break;
-    case wire::Kind::kPull:
-      take(Pull(), [&](const auto& m) { exchange_.OnPull(now, from, m); });
+    case wire::Kind::kPullRequest:
+      take(PullRequest(), [&](const auto& m) { disseminator_.OnPull(now, from, m); });
       break;
-    case wire::Kind::kConfigNews:
-      take(ConfigNews(), [&](const auto& m) { exchange_.OnConfig(now, from, m); });
+    case wire::Kind::kConfigurationUpdate:
+      take(ConfigurationUpdate(), [&](const auto& m) { disseminator_.OnConfig(now, from, m); });
       break;
-    case wire::Kind::kCatalogNews:
-      take(CatalogNews(), [&](const auto& m) { exchange_.OnCatalog(now, from, m); });
+    case wire::Kind::kEndpointUpdate:
+      take(EndpointUpdate(), [&](const auto& m) { disseminator_.OnCatalog(now, from, m); });
       break;
     default:
       if (hooks_.other) hooks_.other(from, kind, payload);
@@ -206,25 +207,25 @@
 }
 
 // What fits a datagram needs no connection to a node that may be gone.
-void Fleet::SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes) {
+void Peers::SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes) {
   if (bytes.size() > kDatagramBytes || !mesh_.SendDatagram(to, kind, std::string_view(bytes))) {
     mesh_.Send(to, kind, std::string_view(bytes));
   }
 }
 
-void Fleet::SendDigest(const base::Address& to, Digest digest) {
+void Peers::SendDigest(const base::Address& to, Digest digest) {
   if (digest.answer) {
-    if (hooks_.demand_told) digest.demand = hooks_.demand_told();
-  } else if (to == told_back_.first) {
-    digest.demand = std::move(told_back_.second);
-    told_back_ = {};
+    if (hooks_.load_report) digest.demand = hooks_.load_report();
+  } else if (to == reply_report_.first) {
+    digest.demand = std::move(reply_report_.second);
+    reply_report_ = {};
   }
-  if (digest.sure || !mesh_.SendDatagram(to, wire::Kind::kDigest, digest)) {
+  if (digest.reliable || !mesh_.SendDatagram(to, wire::Kind::kDigest, digest)) {
     mesh_.Send(to, wire::Kind::kDigest, digest);
   }
 }
 
-void Fleet::Pump() {
+void Peers::Pump() {
   if (pumping_) return;
   pumping_ = true;
   base::Millis now = base::SteadyMillis();
@@ -234,11 +235,11 @@
       base::Debug("node.changed", {{"node", node.address().ToString()},
                                    {"state", ring::StateName(node.state)},
                                    {"incarnation", node.incarnation}});
-      if (node.state == ring::State::kAlive) exchange_.OnHeard(now, node);
-      if (!node.reachable()) exchange_.OnLost(node);
+      if (node.state == ring::State::kAlive) disseminator_.OnHeard(now, node);
+      if (!node.reachable()) disseminator_.OnLost(node);
       if (hooks_.node_changed) hooks_.node_changed(node);
     }
-    Exchange::Effects news = exchange_.Take();
+    Disseminator::Effects effects = disseminator_.Take();
     for (auto& [to, m] : ring.heartbeats) mesh_.SendDatagram(to, wire::Kind::kHeartbeat, m);
     for (auto& [to, m] : ring.tables) {
       // What a process says of itself, a refutation above all, must not be lost on a full link.
@@ -254,20 +255,20 @@
     }
     for (auto& [to, m] : ring.sums) mesh_.SendDatagram(to, wire::Kind::kSums, m);
     for (auto& [to, m] : ring.summaries) SendSmall(to, wire::Kind::kSummary, wire::Encode(m));
-    for (auto& [to, m] : news.digests) SendDigest(to, std::move(m));
-    for (auto& [to, m] : news.pulls) mesh_.Send(to, wire::Kind::kPull, m);
-    for (auto& [to, m] : news.rollouts) mesh_.Send(to, wire::Kind::kRolloutNews, m);
-    for (auto& [to, m] : news.configs) mesh_.Send(to, wire::Kind::kConfigNews, m);
-    for (auto& [to, m] : news.catalogs) mesh_.Send(to, wire::Kind::kCatalogNews, m);
-    for (auto& [to, m] : news.evacuations) mesh_.Send(to, wire::Kind::kEvacuationNews, m);
-    if (news.rollouts_adopted && hooks_.rollouts_adopted) hooks_.rollouts_adopted();
-    if (news.config_adopted && hooks_.config_adopted) hooks_.config_adopted();
-    if (news.catalog_adopted && hooks_.catalog_adopted) hooks_.catalog_adopted();
-    if (news.evacuation_adopted && hooks_.evacuation_adopted) hooks_.evacuation_adopted();
-    if (ring.empty() && news.empty()) break;
+    for (auto& [to, m] : effects.digests) SendDigest(to, std::move(m));
+    for (auto& [to, m] : effects.pulls) mesh_.Send(to, wire::Kind::kPullRequest, m);
+    for (auto& [to, m] : effects.rollouts) mesh_.Send(to, wire::Kind::kRolloutUpdate, m);
+    for (auto& [to, m] : effects.configs) mesh_.Send(to, wire::Kind::kConfigurationUpdate, m);
+    for (auto& [to, m] : effects.catalogs) mesh_.Send(to, wire::Kind::kEndpointUpdate, m);
+    for (auto& [to, m] : effects.evacuations) mesh_.Send(to, wire::Kind::kZoneDrainUpdate, m);
+    if (effects.rollouts_adopted && hooks_.rollouts_adopted) hooks_.rollouts_adopted();
+    if (effects.config_adopted && hooks_.config_adopted) hooks_.config_adopted();
+    if (effects.catalog_adopted && hooks_.catalog_adopted) hooks_.catalog_adopted();
+    if (effects.evacuation_adopted && hooks_.evacuation_adopted) hooks_.evacuation_adopted();
+    if (ring.empty() && effects.empty()) break;
   }
   pumping_ = false;
   Schedule();
 }
 
-}  // namespace elderkeel::news
+}  // namespace elderkeel::dissemination
--- a/src/news/fleet.h
+++ b/src/dissemination/peers.h
@@ -4,14 +4,14 @@
 #include <memory>
 
 #include "base/loop.h"
-#include "news/exchange.h"
+#include "dissemination/disseminator.h"
 #include "ring/membership.h"
 #include "wire/mesh.h"
 
-namespace elderkeel::news {
+namespace elderkeel::dissemination {
 
-// What both programs share: the mesh, who is in the fleet, and the news that goes round in it.
-class Fleet {
+// What both programs share: the mesh, who is in the fleet, and the updates that goes round in it.
+class Peers {
  public:
   struct Hooks {
     std::function<void()> config_adopted;
@@ -20,21 +20,21 @@
     std::function<void()> rollouts_adopted;
     std::function<void(const ring::Node&)> node_changed;
     // What digests carry of how busy the zones are.
-    std::function<demand::Report()> demand_told;
-    std::function<void(const demand::Report&)> demand_heard;
+    std::function<demand::Report()> load_report;
+    std::function<void(const demand::Report&)> load_report_received;
     // Messages of the other slices.
     std::function<void(const base::Address&, wire::Kind, std::string_view)> other;
   };
 
-  Fleet(base::Loop* loop, const base::Settings& settings, ring::Program program, Hooks hooks);
+  Peers(base::Loop* loop, const base::Settings& settings, ring::Program program, Hooks hooks);
 
   base::Result<bool> Start();
   void Leave();
 
   wire::Mesh& mesh() { return mesh_; }
   const ring::Membership& members() const { return members_; }
-  const Exchange& news() const { return exchange_; }
-  // Feeds the news; what it causes is sent at once.
+  const Disseminator& disseminator() const { return disseminator_; }
+  // Feeds the updates; what it causes is sent at once.
   void Commit(const configuration::Register& state);
   void Commit(const evacuation::Orders& orders);
   void Commit(const rollout::Rollouts& rollouts);
@@ -64,11 +64,11 @@
   Hooks hooks_;
   wire::Mesh mesh_;
   ring::Membership members_;
-  Exchange exchange_;
+  Disseminator disseminator_;
   base::Timer tick_;
   base::Millis tick_at_ = 0;
-  std::pair<base::Address, demand::Report> told_back_;  // goes with the answer to a digest
+  std::pair<base::Address, demand::Report> reply_report_;  // goes with the answer to a digest
   bool pumping_ = false;
 };
 
-}  // namespace elderkeel::news
+}  // namespace elderkeel::dissemination
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -13,8 +13,10 @@
 constexpr base::Millis kTickMs = 100;
 constexpr base::Millis kAskEveryMs = 250;
 constexpr base::Millis kConfirmEveryMs = 100;  // the core answers all proxies that just started
-constexpr base::Millis kHurryMs = 25;      // between looks at what is still missing after a start
-constexpr base::Millis kHurriedMs = 3000;  // after the start; a core that is settled has confirmed
+constexpr base::Millis kStartupProbeMs =
+    25;  // between looks at what is still missing after a start
+constexpr base::Millis kStartupProbeForMs =
+    3000;  // after the start; a core that is settled has confirmed
 constexpr base::Millis kFirstCatalogMs = 1500;  // a node that has none asks for itself after this
 constexpr base::Millis kTallyEveryMs = 250;
 constexpr base::Millis kMovingTallyEveryMs = 100;  // while traffic moves to a new version
@@ -51,26 +53,26 @@
   front_ = std::make_unique<forwarding::Front>(loop_, settings_, recorder_.get());
   platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
 
-  news::Fleet::Hooks hooks;
+  dissemination::Peers::Hooks hooks;
   hooks.config_adopted = [this] { ConfigAdopted(); };
   hooks.catalog_adopted = [this] { CatalogAdopted(); };
   hooks.evacuation_adopted = [this] {
-    front_->Adopt(fleet_->news().orders());
-    base::Info("evacuation.adopted", {{"version", fleet_->news().orders().version()}});
+    front_->Adopt(peers_->disseminator().orders());
+    base::Info("evacuation.adopted", {{"version", peers_->disseminator().orders().version()}});
   };
   hooks.rollouts_adopted = [this] {
-    front_->Adopt(fleet_->news().rollouts());
+    front_->Adopt(peers_->disseminator().rollouts());
     tally_at_ = 0;
-    base::Info("rollouts.adopted", {{"version", fleet_->news().rollouts().version()}});
+    base::Info("rollouts.adopted", {{"version", peers_->disseminator().rollouts().version()}});
   };
-  hooks.demand_told = [this] { return front_->TellDemand(); };
-  hooks.demand_heard = [this](const demand::Report& report) { front_->HearDemand(report); };
-  hooks.node_changed = [this](const ring::Node&) { fleet_changed_ = true; };
+  hooks.load_report = [this] { return front_->TellDemand(); };
+  hooks.load_report_received = [this](const demand::Report& report) { front_->HearDemand(report); };
+  hooks.node_changed = [this](const ring::Node&) { peers_changed_ = true; };
   hooks.other = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
     OnMessage(from, kind, payload);
   };
-  fleet_ = std::make_unique<news::Fleet>(loop_, settings_, ring::Program::kProxy, hooks);
-  auto started = fleet_->Start();
+  peers_ = std::make_unique<dissemination::Peers>(loop_, settings_, ring::Program::kProxy, hooks);
+  auto started = peers_->Start();
   if (!started) return started;
 
   wire::HttpServer::Options options;
@@ -99,7 +101,7 @@
       });
   loop_->OnSignal(SIGTERM, [this] { Terminate(); });
   tick_.Repeat(loop_, kTickMs, [this] { Tick(); });
-  Hurry();
+  ProbeStartup();
   base::Info("proxy.started", {{"node", settings_.node_name},
                                {"front", settings_.front.ToString()},
                                {"version", ELDERKEEL_VERSION}});
@@ -107,25 +109,26 @@
 }
 
 void Proxy::ConfigAdopted() {
-  const news::Exchange& news = fleet_->news();
+  const dissemination::Disseminator& disseminator = peers_->disseminator();
   std::shared_ptr<const configuration::Table> table;
-  if (front_->table() && !news.config_patch().empty() &&
-      front_->table()->revision() == news.config_base()) {
-    table = configuration::Table::Patch(*front_->table(), news.config_patch(), front_->names(),
-                                        front_->regions());
+  if (front_->table() && !disseminator.config_patch().empty() &&
+      front_->table()->revision() == disseminator.config_base()) {
+    table = configuration::Table::Patch(*front_->table(), disseminator.config_patch(),
+                                        front_->names(), front_->regions());
   }
   if (!table) {
-    table = configuration::Table::Build(news.config_text(), front_->names(), front_->regions());
+    table =
+        configuration::Table::Build(disseminator.config_text(), front_->names(), front_->regions());
   }
   if (!table) {
-    base::Warn("configuration.unread", {{"revision", fleet_->news().revision()}});
+    base::Warn("configuration.unread", {{"revision", peers_->disseminator().revision()}});
     return;
   }
   front_->Adopt(std::move(table));
-  base::Info("configuration.adopted", {{"revision", fleet_->news().revision()}});
+  base::Info("configuration.adopted", {{"revision", peers_->disseminator().revision()}});
 }
 
-void Proxy::CatalogAdopted() { front_->Adopt(fleet_->news().catalog()); }
+void Proxy::CatalogAdopted() { front_->Adopt(peers_->disseminator().catalog()); }
 
 void Proxy::Answer(const base::Address& from, const diagnosis::Query& query) {
   diagnosis::Question question;
@@ -139,13 +142,13 @@
     diagnosis::Reply reply;
     reply.nonce = nonce;
     reply.node = settings_.node_name;
-    reply.lines.push_back("revision=" + std::to_string(fleet_->news().revision()) +
-                          " catalog_epoch=" + std::to_string(fleet_->news().catalog().epoch) +
-                          " catalog_age_ms=" + std::to_string(fleet_->news().catalog_age(now)) +
-                          " ready=" + (readiness_.Ready(now) ? "yes" : "no") +
-                          " busy=" + std::to_string(front_->busy()) +
-                          " records_lost=" + std::to_string(counts.lost + counts.unsent));
-    fleet_->mesh().Send(from, wire::Kind::kQueryReply, reply);
+    reply.lines.push_back(
+        "revision=" + std::to_string(peers_->disseminator().revision()) +
+        " catalog_epoch=" + std::to_string(peers_->disseminator().catalog().epoch) +
+        " catalog_age_ms=" + std::to_string(peers_->disseminator().catalog_age(now)) + " ready=" +
+        (readiness_.Ready(now) ? "yes" : "no") + " busy=" + std::to_string(front_->busy()) +
+        " records_lost=" + std::to_string(counts.lost + counts.unsent));
+    peers_->mesh().Send(from, wire::Kind::kQueryReply, reply);
     return;
   }
   // Taken and searched on the exporter's thread; only the reply comes back to this one.
@@ -161,7 +164,7 @@
     reply.node = settings_.node_name;
     reply.wall_us = (base::WallNanos() - base::SteadyNanos()) / 1000;
     loop_->Post([this, from, reply = std::move(reply)] {
-      fleet_->mesh().Send(from, wire::Kind::kQueryReply, reply);
+      peers_->mesh().Send(from, wire::Kind::kQueryReply, reply);
     });
   });
 }
@@ -174,26 +177,27 @@
   if (kind == wire::Kind::kTouch) {
     if (auto touch = wire::Decode<rollout::Touch>(payload)) {
       front_->Heard(*touch);
-      fleet_->NoteRolloutVersion(from, touch->version);
+      peers_->NoteRolloutVersion(from, touch->version);
     }
     return;
   }
   if (kind != wire::Kind::kConfirmReply) return;
-  auto reply = wire::Decode<news::ConfirmReply>(payload);
+  auto reply = wire::Decode<dissemination::ConfirmReply>(payload);
   if (!reply) return;
   base::Millis now = base::SteadyMillis();
   if (auto leader = confirmation_.OnReply(now, *reply)) {
-    fleet_->mesh().Send(*leader, wire::Kind::kConfirm, news::Confirm{reply->nonce});
+    peers_->mesh().Send(*leader, wire::Kind::kConfirm, dissemination::Confirm{reply->nonce});
   }
   NoteConfirmed(now);
 }
 
 void Proxy::NoteConfirmed(base::Millis now) {
-  const news::Exchange& news = fleet_->news();
-  if (!readiness_.confirmed() && confirmation_.Holds(now, {news.revision(), news.orders().version(),
-                                                           news.rollouts().version()})) {
+  const dissemination::Disseminator& disseminator = peers_->disseminator();
+  if (!readiness_.confirmed() &&
+      confirmation_.Holds(now, {disseminator.revision(), disseminator.orders().version(),
+                                disseminator.rollouts().version()})) {
     readiness_.Confirmed();
-    base::Info("configuration.confirmed", {{"revision", news.revision()}});
+    base::Info("configuration.confirmed", {{"revision", disseminator.revision()}});
   }
   if (front_->able()) readiness_.Able(now);
   front_->SetServing(readiness_.Serving(now));
@@ -203,37 +207,38 @@
   NoteConfirmed(now);
   if (readiness_.confirmed() || now < ask_at_) return;
   ask_at_ = now + kAskEveryMs;
-  std::vector<base::Address> controllers = fleet_->Controllers();
+  std::vector<base::Address> controllers = peers_->Controllers();
   if (controllers.empty()) return;
   const base::Address& to = controllers[next_controller_++ % controllers.size()];
   if (now >= confirm_at_) {
     confirm_at_ = now + kConfirmEveryMs;
-    fleet_->mesh().Send(to, wire::Kind::kConfirm, confirmation_.Ask(now));
+    peers_->mesh().Send(to, wire::Kind::kConfirm, confirmation_.Ask(now));
   }
   // What it lacks it asks of the first that says to have it: the whole of it is large, and must not
   // come from several at once.
-  const news::Exchange& news = fleet_->news();
-  const news::Versions& wanted = confirmation_.wanted();
-  if (news.revision() < std::max<int64_t>(1, wanted.revision) ||
-      news.orders().version() < wanted.evacuation || news.rollouts().version() < wanted.rollouts ||
-      !news.has_catalog() || (settings_.VersionsByOrder() && !front_->versions_known())) {
-    fleet_->AskDigest(to);
+  const dissemination::Disseminator& disseminator = peers_->disseminator();
+  const dissemination::Versions& wanted = confirmation_.wanted();
+  if (disseminator.revision() < std::max<int64_t>(1, wanted.revision) ||
+      disseminator.orders().version() < wanted.evacuation ||
+      disseminator.rollouts().version() < wanted.rollouts || !disseminator.has_catalog() ||
+      (settings_.VersionsByOrder() && !front_->versions_known())) {
+    peers_->AskDigest(to);
   }
 }
 
 // A stale list is worse than a few calls: a node that hears nothing of the list any more asks for
 // itself, so seldom that all nodes together stay below the platform's rate.
 void Proxy::ReadForItself(base::Millis now) {
-  base::Millis age = fleet_->news().catalog_age(now);
+  base::Millis age = peers_->disseminator().catalog_age(now);
   base::Millis patience = age < 0 ? kFirstCatalogMs : settings_.stale_catalog_ms;
   if (platform_->busy() || now < read_at_) return;
-  size_t nodes = fleet_->members().Others().size() + 1;
+  size_t nodes = peers_->members().Others().size() + 1;
   base::Millis gap = std::max<base::Millis>(
       1000,
       static_cast<base::Millis>(static_cast<double>(nodes) * 4000 / settings_.platform_rate_per_s));
   if (read_at_ == 0) {
     // Staggered by the place on the ring, so that nodes that start together do not ask together.
-    read_at_ = now + patience + static_cast<base::Millis>(fleet_->members().self().id % 1000);
+    read_at_ = now + patience + static_cast<base::Millis>(peers_->members().self().id % 1000);
     return;
   }
   if (age >= 0 && age < patience) return;
@@ -245,47 +250,47 @@
       return;
     }
     base::Info("catalog.own_reading", {{"servers", read->size()}});
-    fleet_->AdoptOwnReading(std::move(*read));
+    peers_->AdoptOwnReading(std::move(*read));
   });
 }
 
-void Proxy::TellWatchers(base::Millis now) {
+void Proxy::ReportMetrics(base::Millis now) {
   if (!front_->rolling_out() || now < tally_at_) return;
   // The watchers hear all proxies; with many, each speaks more seldom.
-  size_t proxies = fleet_->members().CountPossible(ring::Program::kProxy);
+  size_t proxies = peers_->members().CountPossible(ring::Program::kProxy);
   base::Millis every = front_->moving() ? kMovingTallyEveryMs : kTallyEveryMs;
   tally_at_ = now + std::max<base::Millis>(every, static_cast<base::Millis>(proxies));
   bool ask = now >= ask_touch_at_;
   if (ask) ask_touch_at_ = now + kTouchEveryMs;
   for (forwarding::Front::Told& told : front_->TellTallies()) {
-    told.tally.node = fleet_->members().self().id;
-    told.tally.life = fleet_->members().self().life;
+    told.tally.node = peers_->members().self().id;
+    told.tally.life = peers_->members().self().life;
     told.tally.asks = ask;
     std::string bytes = wire::Encode(told.tally);
     for (uint64_t watcher : told.watchers) {
-      auto node = fleet_->members().nodes().find(watcher);
-      if (node == fleet_->members().nodes().end()) continue;
-      fleet_->SendSmall(node->second.address(), wire::Kind::kTally, bytes);
+      auto node = peers_->members().nodes().find(watcher);
+      if (node == peers_->members().nodes().end()) continue;
+      peers_->SendSmall(node->second.address(), wire::Kind::kTally, bytes);
     }
   }
 }
 
 // A node that has just started and serves nobody yet looks and asks more often than later.
-void Proxy::Hurry() {
+void Proxy::ProbeStartup() {
   base::Millis now = base::SteadyMillis();
   if (started_at_ == 0) started_at_ = now;
-  bool done = front_->able() && (readiness_.confirmed() || now - started_at_ > kHurriedMs);
+  bool done = front_->able() && (readiness_.confirmed() || now - started_at_ > kStartupProbeForMs);
   if (done || readiness_.leaving()) return;
-  ask_at_ = std::min(ask_at_, now + kHurryMs);
+  ask_at_ = std::min(ask_at_, now + kStartupProbeMs);
   AskConfirmation(now);
-  hurry_.Start(loop_, kHurryMs, [this] { Hurry(); });
+  startup_probe_.Start(loop_, kStartupProbeMs, [this] { ProbeStartup(); });
 }
 
 // Which of its zone's proxies this one is, as of all that changed since the last look.
-void Proxy::TakePlace() {
-  if (!fleet_changed_) return;
-  fleet_changed_ = false;
-  const ring::Membership& members = fleet_->members();
+void Proxy::UpdateRank() {
+  if (!peers_changed_) return;
+  peers_changed_ = false;
+  const ring::Membership& members = peers_->members();
   front_->SetProxies(members.CountAlive(ring::Program::kProxy),
                      members.CountPossible(ring::Program::kProxy));
   size_t place = 0, places = 0;
@@ -305,25 +310,25 @@
 
 void Proxy::Tick() {
   base::Millis now = base::SteadyMillis();
-  TakePlace();
-  TellWatchers(now);
+  UpdateRank();
+  ReportMetrics(now);
   NoteConfirmed(now);
   if (!readiness_.leaving()) {
     AskConfirmation(now);
     ReadForItself(now);
   }
-  fleet_->SetReady(readiness_.Ready(now));
+  peers_->SetReady(readiness_.Ready(now));
   switch (readiness_.At(now, front_->busy())) {
     case readiness::Readiness::Phase::kServing:
-    case readiness::Readiness::Phase::kAccepting:
+    case readiness::Readiness::Phase::kNotReady:
       break;
-    case readiness::Readiness::Phase::kFinishing:
+    case readiness::Readiness::Phase::kDraining:
       front_->CloseIdle();
       break;
-    case readiness::Readiness::Phase::kAnswering:
+    case readiness::Readiness::Phase::kRejecting:
       front_->FinishAll();
       break;
-    case readiness::Readiness::Phase::kEnd:
+    case readiness::Readiness::Phase::kStopped:
       base::Info("proxy.left");
       loop_->Stop();
       break;
@@ -335,7 +340,7 @@
   base::Info("proxy.leaving", {{"busy", front_->busy()}});
   readiness_.Leave(base::SteadyMillis());
   front_->SetLeaving();
-  fleet_->Leave();
+  peers_->Leave();
 }
 
 }  // namespace elderkeel::proxy
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -6,9 +6,9 @@
 #include "base/settings.h"
 #include "catalog/platform.h"
 #include "diagnosis/diagnosis.h"
+#include "dissemination/confirm.h"
+#include "dissemination/peers.h"
 #include "forwarding/front.h"
-#include "news/confirm.h"
-#include "news/fleet.h"
 #include "readiness/readiness.h"
 #include "readiness/settings_watch.h"
 #include "telemetry/recorder.h"
@@ -16,7 +16,7 @@
 
 namespace elderkeel::proxy {
 
-// The data plane's process: takes news, forwards requests, and says when it is ready.
+// The data plane's process: takes updates, forwards requests, and says when it is ready.
 class Proxy {
  public:
   Proxy(base::Loop* loop, base::Settings settings, std::string settings_path);
@@ -31,31 +31,31 @@
   void ConfigAdopted();
   void CatalogAdopted();
   void Tick();
-  void TakePlace();
-  void Hurry();
+  void UpdateRank();
+  void ProbeStartup();
   void AskConfirmation(base::Millis now);
   // Takes note if what is held is confirmed as current, and serves by it.
   void NoteConfirmed(base::Millis now);
   void ReadForItself(base::Millis now);
   // Tells the watchers of roll-outs under way what this proxy counts.
-  void TellWatchers(base::Millis now);
+  void ReportMetrics(base::Millis now);
   std::unique_ptr<telemetry::Sink> MakeSink();
 
   base::Loop* loop_;
   base::Settings settings_;
   std::string settings_path_;
   std::unique_ptr<telemetry::Recorder> recorder_;
-  std::unique_ptr<news::Fleet> fleet_;
+  std::unique_ptr<dissemination::Peers> peers_;
   std::unique_ptr<forwarding::Front> front_;
   std::unique_ptr<wire::HttpServer> ready_server_;
   std::unique_ptr<catalog::Platform> platform_;
   std::unique_ptr<readiness::SettingsWatch> watch_;
   readiness::Readiness readiness_;
-  bool fleet_changed_ = true;
+  bool peers_changed_ = true;
   base::Timer tick_;
-  base::Timer hurry_;
+  base::Timer startup_probe_;
 
-  news::Confirmation confirmation_;
+  dissemination::Confirmation confirmation_;
   base::Millis started_at_ = 0;
   base::Millis ask_at_ = 0;
   base::Millis confirm_at_ = 0;
--- a/src/readiness/readiness.h
+++ b/src/readiness/readiness.h
@@ -16,7 +16,7 @@
     base::Millis notice = 2500;        // the platform may still send for so long after "not ready"
     base::Millis grace = 6000;
   };
-  enum class Phase { kServing, kAccepting, kFinishing, kAnswering, kEnd };
+  enum class Phase { kServing, kNotReady, kDraining, kRejecting, kStopped };
 
   Readiness() : Readiness(Options()) {}
   explicit Readiness(Options options) : options_(options) {}
@@ -44,10 +44,10 @@
     base::Millis gone = now - left_at_;
     base::Millis notice =
         options_.notice < options_.grace / 2 ? options_.notice : options_.grace / 2;
-    if (gone < notice) return Phase::kAccepting;
-    if (gone >= options_.grace - options_.grace / 8) return Phase::kEnd;
-    if (gone >= options_.grace - options_.grace / 5) return Phase::kAnswering;
-    return busy > 0 ? Phase::kFinishing : Phase::kEnd;
+    if (gone < notice) return Phase::kNotReady;
+    if (gone >= options_.grace - options_.grace / 8) return Phase::kStopped;
+    if (gone >= options_.grace - options_.grace / 5) return Phase::kRejecting;
+    return busy > 0 ? Phase::kDraining : Phase::kStopped;
   }
 
  private:
--- a/tests/change_cost.cc
+++ b/tests/change_cost.cc
@@ -17,7 +17,7 @@
 
 #include "configuration/document.h"
 #include "configuration/register.h"
-#include "news/exchange.h"
+#include "dissemination/disseminator.h"
 #include "ring/membership.h"
 #include "wire/frame.h"
 
@@ -104,8 +104,10 @@
   const base::Address from{"127.0.0.2", 1};
   size_t before = Held();
   auto leader = std::make_unique<configuration::Register>();
-  auto told = std::make_unique<news::Exchange>(news::Exchange::Options(), &controllers, 0);
-  auto adopts = std::make_unique<news::Exchange>(news::Exchange::Options(), &proxies, 0);
+  auto told = std::make_unique<dissemination::Disseminator>(dissemination::Disseminator::Options(),
+                                                            &controllers, 0);
+  auto adopts = std::make_unique<dissemination::Disseminator>(
+      dissemination::Disseminator::Options(), &proxies, 0);
   base::Names names, regions;
   std::shared_ptr<const configuration::Table> table;
   int64_t revision = 0;
--- a/tests/cut_test.cc
+++ b/tests/cut_test.cc
@@ -8,7 +8,7 @@
 
 #include "configuration/operator_api.h"
 #include "consensus/machine.h"
-#include "news/confirm.h"
+#include "dissemination/confirm.h"
 #include "simulation.h"
 
 // What a control machine that is cut off, frozen or late may not do.
@@ -17,9 +17,9 @@
 namespace {
 
 using base::Millis;
-using news::Confirmation;
-using news::ConfirmReply;
-using news::Versions;
+using dissemination::Confirmation;
+using dissemination::ConfirmReply;
+using dissemination::Versions;
 using simulation::World;
 
 // A proxy asks at some times, replies come at others; is what it holds confirmed as current?
@@ -283,14 +283,14 @@
 TEST(Exchange, TheWordOfAFormerHolderEndsWithTheFirstOfItsSuccessor) {
   ring::Membership members({}, {}, 0);
   auto list = [](uint64_t epoch, uint64_t sequence) {
-    news::CatalogNews news;
+    dissemination::EndpointUpdate news;
     news.epoch = epoch;
     news.sequence = sequence;
     return news;
   };
   const base::Address from{"10.0.0.2", 1};
   for (bool restarted : {false, true}) {
-    news::Exchange exchange({}, &members, 0);
+    dissemination::Disseminator exchange({}, &members, 0);
     if (!restarted) exchange.OnCatalog(0, from, list(4, 1));
     exchange.OnCatalog(10, from, list(3, 9));  // of the former holder
     EXPECT_EQ(exchange.catalog().epoch, restarted ? 3u : 4u);
@@ -300,8 +300,8 @@
     // Nor does a former holder publish once it has heard of its successor.
     EXPECT_FALSE(exchange.Publish(40, {3, 11, {}}));
     EXPECT_EQ(exchange.catalog().epoch, 4u);
-    news::EvacuationNews old;
-    news::EvacuationNews current;
+    dissemination::ZoneDrainUpdate old;
+    dissemination::ZoneDrainUpdate current;
     old.orders.Apply({"a", true});
     current.orders = old.orders;
     current.orders.Apply({"a", false});
--- a/tests/forwarding_test.cc
+++ b/tests/forwarding_test.cc
@@ -298,9 +298,9 @@
     size_t busy;
     Phase phase;
   } cases[] = {
-      {10100, 0, Phase::kAccepting},  // the platform may still send, idle or not
-      {12400, 0, Phase::kAccepting}, {12600, 3, Phase::kFinishing}, {12600, 0, Phase::kEnd},
-      {14900, 2, Phase::kAnswering}, {15300, 2, Phase::kEnd},
+      {10100, 0, Phase::kNotReady},  // the platform may still send, idle or not
+      {12400, 0, Phase::kNotReady},  {12600, 3, Phase::kDraining}, {12600, 0, Phase::kStopped},
+      {14900, 2, Phase::kRejecting}, {15300, 2, Phase::kStopped},
   };
   for (const Case& k : cases) EXPECT_EQ(c.At(k.at, k.busy), k.phase) << k.at;
 }
--- a/tests/rollout_simulation_test.cc
+++ b/tests/rollout_simulation_test.cc
@@ -181,7 +181,7 @@
         }
         // Every node comes to know how it ended.
         for (size_t i = 0; i < world.size(); ++i) {
-          const rollout::Rollout* known = world.node(i).news->rollouts().Of("s");
+          const rollout::Rollout* known = world.node(i).disseminator->rollouts().Of("s");
           ASSERT_TRUE(known) << what;
           EXPECT_EQ(known->stage, world.traffic.stage) << what << " " << i;
         }
--- a/tests/scale_run.cc
+++ b/tests/scale_run.cc
@@ -23,7 +23,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "configuration/document.h"
-#include "news/fleet.h"
+#include "dissemination/peers.h"
 #include "rollout/gate.h"
 #include "wire/http_client.h"
 #include "wire/http_server.h"
@@ -85,21 +85,22 @@
 class Hollow {
  public:
   Hollow(base::Loop* loop, int node) : settings_(*base::ParseSettings(SettingsText(node, ""))) {
-    news::Fleet::Hooks hooks;
+    dissemination::Peers::Hooks hooks;
     hooks.config_adopted = [this] {
-      if (fleet_->news().revision() != shared->wanted_revision) return;
+      if (peers_->disseminator().revision() != shared->wanted_revision) return;
       shared->revision_at = base::SteadyMillis();
       ++shared->revisions;
     };
     hooks.catalog_adopted = [this] {
-      if (fleet_->news().catalog().servers.empty()) return;
-      if (fleet_->news().catalog().servers[0].capacity != static_cast<int>(shared->wanted_sequence))
+      if (peers_->disseminator().catalog().servers.empty()) return;
+      if (peers_->disseminator().catalog().servers[0].capacity !=
+          static_cast<int>(shared->wanted_sequence))
         return;
       shared->catalog_at = base::SteadyMillis();
       ++shared->catalogs;
     };
     hooks.rollouts_adopted = [this] {
-      gate_.Adopt(base::SteadyMillis(), fleet_->news().rollouts());
+      gate_.Adopt(base::SteadyMillis(), peers_->disseminator().rollouts());
       if (!gate_.active()) return;
       shared->rollout_at = base::SteadyMillis();
       ++shared->rollouts;
@@ -118,26 +119,26 @@
       if (kind != wire::Kind::kTouch) return;
       if (auto touch = wire::Decode<rollout::Touch>(payload)) {
         gate_.Heard(base::SteadyMillis(), *touch);
-        fleet_->NoteRolloutVersion(from, touch->version);
+        peers_->NoteRolloutVersion(from, touch->version);
       }
     };
-    fleet_ = std::make_unique<news::Fleet>(loop, settings_, ring::Program::kProxy, hooks);
-    if (!fleet_->Start()) std::fprintf(stderr, "hollow node %d can't start\n", node);
+    peers_ = std::make_unique<dissemination::Peers>(loop, settings_, ring::Program::kProxy, hooks);
+    if (!peers_->Start()) std::fprintf(stderr, "hollow node %d can't start\n", node);
     tick_.Repeat(loop, 100, [this] { Tick(); });
   }
 
  private:
   void Tick() {
     base::Millis now = base::SteadyMillis();
-    if (!fleet_->news().has_catalog() && now > ask_at_) {
+    if (!peers_->disseminator().has_catalog() && now > ask_at_) {
       ask_at_ = now + 400;
-      auto controllers = fleet_->Controllers();
+      auto controllers = peers_->Controllers();
       if (!controllers.empty()) {
-        fleet_->AskDigest(controllers[base::Hash(settings_.ip) % controllers.size()]);
+        peers_->AskDigest(controllers[base::Hash(settings_.ip) % controllers.size()]);
       }
     }
     if (!gate_.active() || now < tally_at_) return;
-    size_t proxies = fleet_->members().CountPossible(ring::Program::kProxy);
+    size_t proxies = peers_->members().CountPossible(ring::Program::kProxy);
     tally_at_ = now + std::max<base::Millis>(250, static_cast<base::Millis>(proxies));
     for (const std::string& service : gate_.ActiveServices()) {
       for (int i = 0; i < 20; ++i) {
@@ -147,21 +148,21 @@
                           rollout::Gate::Ending::kWhole, true, false});
       }
       rollout::Tally tally = gate_.Tell(now, service);
-      tally.node = fleet_->members().self().id;
+      tally.node = peers_->members().self().id;
       tally.life = 1;
       tally.asks = now % 1000 < 500;
       std::string bytes = wire::Encode(tally);
       for (uint64_t watcher : gate_.RolloutOf(service)->watchers) {
-        auto at = fleet_->members().nodes().find(watcher);
-        if (at == fleet_->members().nodes().end()) continue;
-        fleet_->SendSmall(at->second.address(), wire::Kind::kTally, bytes);
+        auto at = peers_->members().nodes().find(watcher);
+        if (at == peers_->members().nodes().end()) continue;
+        peers_->SendSmall(at->second.address(), wire::Kind::kTally, bytes);
       }
     }
   }
 
   base::Settings settings_;
   rollout::Gate gate_{rollout::Gate::Options()};
-  std::unique_ptr<news::Fleet> fleet_;
+  std::unique_ptr<dissemination::Peers> peers_;
   base::Timer tick_;
   base::Millis tally_at_ = 0, ask_at_ = 0;
 };
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -12,9 +12,9 @@
 #include "base/random.h"
 #include "consensus/machine.h"
 #include "controller/control_state.h"
+#include "dissemination/confirm.h"
+#include "dissemination/disseminator.h"
 #include "duty/duty.h"
-#include "news/confirm.h"
-#include "news/exchange.h"
 #include "ring/membership.h"
 #include "rollout/conductor.h"
 #include "rollout/gate.h"
@@ -25,9 +25,9 @@
 using base::Address;
 using base::Millis;
 
-// Several nodes of consensus, duty, membership and news in one process, with a simulated network,
-// disks and clock. Everything follows from the seed. Invariants are checked as it runs; the first
-// one that breaks is kept in `fault`.
+// Several nodes of consensus, duty, membership and dissemination in one process, with a simulated
+// network, disks and clock. Everything follows from the seed. Invariants are checked as it runs;
+// the first one that breaks is kept in `fault`.
 class World {
  public:
   struct Options {
@@ -39,7 +39,7 @@
     consensus::Tolerance tolerance;
     std::map<std::string, std::string> regions;  // of zones
     uint64_t seed = 1;
-    bool count_bytes = false;  // of membership and news, by sender
+    bool count_bytes = false;  // of membership and dissemination, by sender
     double requests = 0;       // for the service "s", by each proxy in each step of 10 ms
     // Whether an answer of its new version is a failure, so long after the order.
     std::function<bool(base::Random&, Millis)> new_fails;
@@ -82,7 +82,7 @@
     uint64_t watched_epoch = 0, sequence = 0;
     Millis poll_at = 0, claim_at = 0, join_at = 0;
     std::unique_ptr<ring::Membership> members;
-    std::unique_ptr<news::Exchange> news;
+    std::unique_ptr<dissemination::Disseminator> disseminator;
     int64_t adopted_revision = 0;
     uint64_t adopted_epoch = 0, adopted_sequence = 0;
     size_t bytes = 0;  // sent, of all lives
@@ -95,7 +95,7 @@
       uint64_t server;
     };
     std::vector<Flight> flights;
-    std::unique_ptr<news::Confirmation> confirmation;  // of a proxy's life
+    std::unique_ptr<dissemination::Confirmation> confirmation;  // of a proxy's life
     Millis confirmed_at = -1;
     size_t asked = 0;
     std::map<uint64_t, std::pair<Address, uint64_t>> confirms;  // a controller's, by read token
@@ -125,7 +125,8 @@
       if (nodes_[i]->up) follower_->Started(i);
     }
   }
-  // Does what a node's machine and news have decided on; after each call of them from outside.
+  // Does what a node's machine and disseminator have decided on; after each call of them from
+  // outside.
   void Pump(size_t i) { PumpNode(i); }
 
   explicit World(Options options) : options_(options), random_(options.seed) {
@@ -175,11 +176,11 @@
       if (nodes_[k].get() != &n) seeds.push_back(nodes_[k]->address);
     }
     n.members = std::make_unique<ring::Membership>(member, seeds, now);
-    news::Exchange::Options news;
-    news.seed = random_.Next();
-    n.news = std::make_unique<news::Exchange>(news, n.members.get(), now);
+    dissemination::Disseminator::Options gossip;
+    gossip.seed = random_.Next();
+    n.disseminator = std::make_unique<dissemination::Disseminator>(gossip, n.members.get(), now);
     n.flights.clear();
-    n.confirmation = std::make_unique<news::Confirmation>(n.life);
+    n.confirmation = std::make_unique<dissemination::Confirmation>(n.life);
     n.confirmed_at = -1;
     n.confirms.clear();
     n.gate = std::make_unique<rollout::Gate>(rollout::Gate::Options{});
@@ -217,7 +218,7 @@
     n.up = false;
     n.writing.clear();  // what was not synced is gone
     n.machine.reset();
-    n.news.reset();
+    n.disseminator.reset();
     n.members.reset();
   }
   // An orderly end: at once, or once a controller's part in the log has ended, and at a bound.
@@ -345,16 +346,16 @@
       if (n->controller && n->state.configuration.revision() < acknowledged_) {
         return n->address.ip + " lacks acknowledged revision " + std::to_string(acknowledged_);
       }
-      if (n->news->revision() < acknowledged_) {
-        return n->address.ip + " serves by " + std::to_string(n->news->revision()) +
+      if (n->disseminator->revision() < acknowledged_) {
+        return n->address.ip + " serves by " + std::to_string(n->disseminator->revision()) +
                " instead of " + std::to_string(acknowledged_);
       }
       for (const auto& [zone, evacuate] : evacuated_) {
-        if (n->news->orders().Evacuated(zone) != evacuate) {
+        if (n->disseminator->orders().Evacuated(zone) != evacuate) {
           return n->address.ip + " does not know of the evacuation of " + zone;
         }
       }
-      const auto& servers = n->news->catalog().servers;
+      const auto& servers = n->disseminator->catalog().servers;
       if (servers.size() != 1 || servers[0].id != "list-" + std::to_string(list_)) {
         return n->address.ip + " has an old list";
       }
@@ -380,7 +381,7 @@
     return at != evacuated_.end() && at->second;
   }
   bool KnowsList(size_t i) const {
-    const auto& servers = nodes_[i]->news->catalog().servers;
+    const auto& servers = nodes_[i]->disseminator->catalog().servers;
     return servers.size() == 1 && servers[0].id == "list-" + std::to_string(list_);
   }
   uint64_t messages() const { return messages_; }
@@ -401,9 +402,11 @@
  private:
   using Body =
       std::variant<consensus::Message, consensus::Member, ring::Heartbeat, ring::Table, ring::Sums,
-                   ring::Summary, news::Digest, news::Pull, news::ConfigNews, news::CatalogNews,
-                   news::EvacuationNews, duty::Resignation, news::RolloutNews, rollout::Tally,
-                   rollout::Touch, rollout::Vote, news::Confirm, news::ConfirmReply>;
+                   ring::Summary, dissemination::Digest, dissemination::PullRequest,
+                   dissemination::ConfigurationUpdate, dissemination::EndpointUpdate,
+                   dissemination::ZoneDrainUpdate, duty::Resignation, dissemination::RolloutUpdate,
+                   rollout::Tally, rollout::Touch, rollout::Vote, dissemination::Confirm,
+                   dissemination::ConfirmReply>;
   struct Packet {
     Millis at;
     uint64_t order;
@@ -450,7 +453,7 @@
       FinishWrites(i);
       if (now % 50 == 0) {
         n.members->Tick(now);
-        n.news->Tick(now);
+        n.disseminator->Tick(now);
       }
       if (n.controller) {
         n.machine->Tick(now);
@@ -479,8 +482,8 @@
 
   void AskConfirmation(size_t i) {
     Node& n = *nodes_[i];
-    news::Versions held{n.news->revision(), n.news->orders().version(),
-                        n.news->rollouts().version()};
+    dissemination::Versions held{n.disseminator->revision(), n.disseminator->orders().version(),
+                                 n.disseminator->rollouts().version()};
     if (n.confirmed_at >= 0) return;
     if (n.confirmation->Holds(now, held)) {
       n.confirmed_at = now;
@@ -496,7 +499,7 @@
     Send(i, to, n.confirmation->Ask(now));
   }
 
-  void OnConfirm(size_t i, const Address& from, const news::Confirm& confirm) {
+  void OnConfirm(size_t i, const Address& from, const dissemination::Confirm& confirm) {
     Node& n = *nodes_[i];
     uint64_t token = ++order_;
     n.confirms[token] = {from, confirm.nonce};
@@ -508,7 +511,7 @@
     Node& n = *nodes_[i];
     auto at = n.confirms.find(token);
     if (at == n.confirms.end()) return;
-    news::ConfirmReply reply;
+    dissemination::ConfirmReply reply;
     reply.nonce = at->second.second;
     reply.confirmed = confirmed;
     if (confirmed) {
@@ -572,7 +575,7 @@
   void FollowRollouts(Node& n) {
     n.conductor->Adopt(now, n.state.rollouts);
     n.watcher->Adopt(n.state.rollouts);
-    n.news->Commit(n.state.rollouts);
+    n.disseminator->Commit(n.state.rollouts);
     const rollout::Rollout* rollout = n.state.rollouts.Of("s");
     if (!rollout || !n.machine->settled()) return;
     if (traffic.ordered_at < 0) traffic.ordered_at = now;
@@ -658,23 +661,29 @@
     if (auto* m = std::get_if<ring::Table>(&body)) n.members->OnTable(now, from, *m);
     if (auto* m = std::get_if<ring::Sums>(&body)) n.members->OnSums(now, from, *m);
     if (auto* m = std::get_if<ring::Summary>(&body)) n.members->OnSummary(now, from, *m);
-    if (auto* m = std::get_if<news::EvacuationNews>(&body)) n.news->OnEvacuation(now, from, *m);
-    if (auto* m = std::get_if<news::Digest>(&body)) n.news->OnDigest(now, from, *m);
-    if (auto* m = std::get_if<news::Pull>(&body)) n.news->OnPull(now, from, *m);
-    if (auto* m = std::get_if<news::ConfigNews>(&body)) n.news->OnConfig(now, from, *m);
-    if (auto* m = std::get_if<news::CatalogNews>(&body)) n.news->OnCatalog(now, from, *m);
-    if (auto* m = std::get_if<news::RolloutNews>(&body)) n.news->OnRollouts(now, from, *m);
+    if (auto* m = std::get_if<dissemination::ZoneDrainUpdate>(&body))
+      n.disseminator->OnEvacuation(now, from, *m);
+    if (auto* m = std::get_if<dissemination::Digest>(&body))
+      n.disseminator->OnDigest(now, from, *m);
+    if (auto* m = std::get_if<dissemination::PullRequest>(&body))
+      n.disseminator->OnPull(now, from, *m);
+    if (auto* m = std::get_if<dissemination::ConfigurationUpdate>(&body))
+      n.disseminator->OnConfig(now, from, *m);
+    if (auto* m = std::get_if<dissemination::EndpointUpdate>(&body))
+      n.disseminator->OnCatalog(now, from, *m);
+    if (auto* m = std::get_if<dissemination::RolloutUpdate>(&body))
+      n.disseminator->OnRollouts(now, from, *m);
     if (auto* m = std::get_if<rollout::Touch>(&body)) {
       n.gate->Heard(now, *m);
-      n.news->OnRolloutVersion(now, from, m->version);
+      n.disseminator->OnRolloutVersion(now, from, m->version);
     }
-    if (auto* m = std::get_if<news::ConfirmReply>(&body); m && !n.controller) {
+    if (auto* m = std::get_if<dissemination::ConfirmReply>(&body); m && !n.controller) {
       if (auto leader = n.confirmation->OnReply(now, *m)) {
-        Send(i, *leader, news::Confirm{m->nonce});
+        Send(i, *leader, dissemination::Confirm{m->nonce});
       }
     }
     if (!n.controller) return;
-    if (auto* m = std::get_if<news::Confirm>(&body)) OnConfirm(i, from, *m);
+    if (auto* m = std::get_if<dissemination::Confirm>(&body)) OnConfirm(i, from, *m);
     if (auto* m = std::get_if<rollout::Tally>(&body)) {
       bool heard = n.machine->settled() ||
                    (n.machine->leader_heard() && now - n.machine->leader_heard() < 1200);
@@ -741,11 +750,11 @@
     n.watched_epoch = n.state.duty.epoch;
     catalog::Server server;
     server.id = "list-" + std::to_string(list_);
-    if (n.sequence && n.news->catalog().servers.size() == 1 &&
-        n.news->catalog().servers[0].id == server.id) {
-      n.news->Confirm(now, n.watched_epoch);
+    if (n.sequence && n.disseminator->catalog().servers.size() == 1 &&
+        n.disseminator->catalog().servers[0].id == server.id) {
+      n.disseminator->Confirm(now, n.watched_epoch);
     } else {
-      n.news->Publish(now, {n.watched_epoch, ++n.sequence, {server}});
+      n.disseminator->Publish(now, {n.watched_epoch, ++n.sequence, {server}});
     }
   }
 
@@ -753,33 +762,33 @@
     Node& n = *nodes_[i];
     auto ring = n.members->Take();
     for (const auto& node : ring.changed) {
-      if (node.state == ring::State::kAlive) n.news->OnHeard(now, node);
-      if (!node.reachable()) n.news->OnLost(node);
+      if (node.state == ring::State::kAlive) n.disseminator->OnHeard(now, node);
+      if (!node.reachable()) n.disseminator->OnLost(node);
     }
     for (auto& [to, m] : ring.heartbeats) Send(i, to, m);
     for (auto& [to, m] : ring.tables) Send(i, to, m);
     for (auto& [to, m] : ring.sums) Send(i, to, m);
     for (auto& [to, m] : ring.summaries) Send(i, to, m);
     if (n.controller) PumpMachine(i);
-    auto news = n.news->Take();
-    for (auto& [to, m] : news.digests) Send(i, to, m);
-    for (auto& [to, m] : news.pulls) Send(i, to, m);
-    for (auto& [to, m] : news.configs) Send(i, to, m);
-    for (auto& [to, m] : news.catalogs) Send(i, to, m);
-    for (auto& [to, m] : news.evacuations) Send(i, to, m);
-    for (auto& [to, m] : news.rollouts) Send(i, to, m);
-    if (news.rollouts_adopted) n.gate->Adopt(now, n.news->rollouts());
-    if (n.news->revision() < n.adopted_revision)
+    auto effects = n.disseminator->Take();
+    for (auto& [to, m] : effects.digests) Send(i, to, m);
+    for (auto& [to, m] : effects.pulls) Send(i, to, m);
+    for (auto& [to, m] : effects.configs) Send(i, to, m);
+    for (auto& [to, m] : effects.catalogs) Send(i, to, m);
+    for (auto& [to, m] : effects.evacuations) Send(i, to, m);
+    for (auto& [to, m] : effects.rollouts) Send(i, to, m);
+    if (effects.rollouts_adopted) n.gate->Adopt(now, n.disseminator->rollouts());
+    if (n.disseminator->revision() < n.adopted_revision)
       Fail(n.address.ip + " went back to an older configuration");
-    n.adopted_revision = n.news->revision();
-    const catalog::Catalog& c = n.news->catalog();
+    n.adopted_revision = n.disseminator->revision();
+    const catalog::Catalog& c = n.disseminator->catalog();
     if (std::tie(c.epoch, c.sequence) < std::tie(n.adopted_epoch, n.adopted_sequence)) {
       Fail(n.address.ip + " went back to an older list");
     }
     n.adopted_epoch = c.epoch;
     n.adopted_sequence = c.sequence;
     if (n.adopted_revision > 0)
-      CheckWinner(n.adopted_revision, base::Hash(n.news->config_text()), n.address.ip);
+      CheckWinner(n.adopted_revision, base::Hash(n.disseminator->config_text()), n.address.ip);
   }
 
   void CheckWinner(int64_t revision, uint64_t digest, const std::string& who) {
@@ -839,9 +848,9 @@
       if (!n.state.configuration.empty()) {
         CheckWinner(n.state.configuration.revision(), base::Hash(n.state.configuration.text()),
                     n.address.ip);
-        n.news->Commit(now, n.state.configuration);
+        n.disseminator->Commit(now, n.state.configuration);
       }
-      n.news->Commit(n.state.orders);
+      n.disseminator->Commit(n.state.orders);
       FollowRollouts(n);
       if (e.role_changed && hooks.role_changed) hooks.role_changed(i);
       for (bool ok : {false, true}) {
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -144,8 +144,8 @@
   // Two of three are enough to elect, to name a holder, and to bring the list round.
   for (size_t i = 0; i < world.size(); ++i) {
     if (static_cast<int>(i) == leader) continue;
-    ASSERT_EQ(world.node(i).news->catalog().servers.size(), 1u);
-    EXPECT_EQ(world.node(i).news->catalog().servers[0].id, "list-1") << i;
+    ASSERT_EQ(world.node(i).disseminator->catalog().servers.size(), 1u);
+    EXPECT_EQ(world.node(i).disseminator->catalog().servers[0].id, "list-1") << i;
   }
   world.Start(static_cast<size_t>(leader));
   Settle(&world, 8000, "after its return");
@@ -305,9 +305,9 @@
 
 TEST(Exchange, TakesOnlyWhatIsNewer) {
   ring::Membership members({}, {}, 0);
-  news::Exchange exchange({}, &members, 0);
+  dissemination::Disseminator exchange({}, &members, 0);
   auto list = [](uint64_t epoch, uint64_t sequence) {
-    news::CatalogNews news;
+    dissemination::EndpointUpdate news;
     news.epoch = epoch;
     news.sequence = sequence;
     news.servers.resize(1);
@@ -570,10 +570,10 @@
   world.Change();
   world.ChangeList();
   world.Run(3000);
-  EXPECT_LT(world.node(proxy).news->revision(), world.acknowledged());
+  EXPECT_LT(world.node(proxy).disseminator->revision(), world.acknowledged());
   world.Isolate(proxy, false);
   world.Run(1500);
-  EXPECT_EQ(world.node(proxy).news->revision(), world.acknowledged());
+  EXPECT_EQ(world.node(proxy).disseminator->revision(), world.acknowledged());
   Settle(&world, 6000, "after its return");
 }
 
