Consensus: a leader that ends asks again to be relieved until another one leads

Cause: one message (TimeoutNow) hands leadership over; if it is lost, or overtaken by a heartbeat, the leader leads on until its process is ended at the bound, and the core is without a leader then. Change: while it leads and leaves it asks the best follower again, each half of an election time.

--- a/src/consensus/machine.cc
+++ b/src/consensus/machine.cc
@@ -224,6 +224,11 @@
       election_at_ = now + timing_.election * 4;
       return;
     }
+    // The word that hands over may be lost, or come after a heartbeat that unsays it.
+    if (leaving_ && now >= leave_at_) {
+      leave_at_ = now + timing_.election / 2;
+      TransferLeadership(now);
+    }
     ReviewVoters(now);  // not only with heartbeats: while changes go out none is due
     if (now >= heartbeat_at_) {
       Broadcast(now);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -135,6 +135,29 @@
   EXPECT_EQ(world.fault, "");
 }
 
+// One message asks a follower to lead in place of a leader that ends. Whatever becomes of it,
+// another one leads long before the bound of the orderly end.
+TEST(Leaving, ALeaderHandsOverThoughMessagesAreLost) {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    SCOPED_TRACE(seed);
+    World::Options options;
+    options.controllers = 5;
+    options.proxies = 1;
+    options.loss_percent = 20;
+    options.tolerance.machines = 2;
+    options.seed = seed;
+    World world(options);
+    world.Run(8000);
+    int leader = world.leader();
+    if (leader < 0) continue;  // an election is under way
+    world.Leave(static_cast<size_t>(leader));
+    world.Run(2500);
+    EXPECT_FALSE(world.node(static_cast<size_t>(leader)).up &&
+                 world.node(static_cast<size_t>(leader)).machine->leading());
+    EXPECT_EQ(world.fault, "");
+  }
+}
+
 class Losses : public ::testing::TestWithParam<size_t> {};
 TEST_P(Losses, AreBorneAgainAndAgain) {
   const std::vector<Case> cases = {
