Dissemination: every node knows how old its state is and asks in turn once it is too old

Cause: a change crossed zones in the log alone and each zone's own controller told its proxies; where that one was cut off, deaf, mute or behind, a digest to a random peer was all that was left: a geometric tail. Change: the leader vouches for its log by read rounds of its heartbeats, the reader of the list for the list; whoever's knowledge is older than a bound asks controllers in turn, over zones, two at a time after the first, over connections if need be. One mechanism for configuration, drains, roll-outs and endpoints. Patches are sent in chains; a table that can't be built is fetched anew; each kind of state has its own gate; 404 only by what is known to be recent, else 503 with Retry-After. A proxy that ends rejects new requests well before it gives up what is here, and ends after the last byte (LOST). Ruled out: pushing from the leader to each zone (the same dead ends, and no bound).

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -94,6 +94,11 @@
   int64_t PollMs() const {
     return poll_ms > 0 ? poll_ms : std::clamp<int64_t>(drain_ms * 3 / 10, 250, 10000);
   }
+  // Within so long whatever was acknowledged is known everywhere: half of the shortest time that
+  // the platform allows for any of it.
+  int64_t PropagationMs() const {
+    return std::min({apply_ms, drain_ms, evacuate_ms, rollback_ms}) / 2;
+  }
   std::string RegionOf(const std::string& of_zone) const {
     auto at = zones.find(of_zone);
     return at == zones.end() ? std::string() : at->second;
--- a/src/consensus/machine.h
+++ b/src/consensus/machine.h
@@ -71,6 +71,8 @@
   std::optional<Index> Propose(base::Millis now, std::string command);
   // Confirms with a majority that this is still the leader; false if it is not one now.
   bool Read(base::Millis now, uint64_t token);
+  // The same by the heartbeats that go out anyway: no message more, and one heartbeat later.
+  bool ReadByHeartbeat(base::Millis now, uint64_t token);
   // A controller without a vote asks to be caught up and made a voter.
   void Join(base::Millis now, const Member& member);
   // Where a member stands, as the ring tells it; founders are known by address alone at first.
@@ -249,7 +251,7 @@
   bool fresh_ = true;  // no leader was heard in this life
   bool leaving_ = false;
   bool departed_ = false;
-  base::Millis leave_at_ = 0;  // when the leader is asked next
+  base::Millis leave_at_ = 0;  // when the leader is asked next, or asks another one to lead
 
   MemberId leader_id_ = 0;
   base::Address leader_address_;
--- a/src/consensus/read_index.cc
+++ b/src/consensus/read_index.cc
@@ -22,6 +22,15 @@
   return true;
 }
 
+bool Machine::ReadByHeartbeat(base::Millis now, uint64_t token) {
+  Wake(now);
+  if (!settled()) return false;
+  // Any message that is numbered from here on was sent after the question.
+  reads_.push_back({token, round_ + 1});
+  if (Majority() == 1) AdvanceReads();
+  return true;
+}
+
 void Machine::AdvanceReads() {
   std::vector<uint64_t> rounds;
   for (const Member& v : voters_) {
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -204,6 +204,12 @@
   return taken;
 }
 
+bool Replica::ReadByHeartbeat(uint64_t token) {
+  bool taken = machine_->ReadByHeartbeat(base::SteadyMillis(), token);
+  Pump();
+  return taken;
+}
+
 void Replica::Join(const Member& member) {
   machine_->Join(base::SteadyMillis(), member);
   Pump();
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -54,6 +54,7 @@
   void Receive(const Message& message, const base::Address& from);
   std::optional<Index> Propose(std::string command);
   bool Read(uint64_t token);
+  bool ReadByHeartbeat(uint64_t token);
   void Join(const Member& member);
   void TransferLeadership();
   // Gives up the vote; machine().departed() tells when this process may end.
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -18,6 +18,7 @@
 constexpr base::Millis kPlatformPatienceMs = 3000;
 constexpr base::Millis kResignGapMs = 5000;
 constexpr base::Millis kClaimEveryMs = 200;
+constexpr base::Millis kVouchPatienceMs = 1000;  // with a majority that does not answer
 constexpr base::Millis kLeaveMs = 800;
 constexpr size_t kMaxInquiries = 16;
 constexpr base::Millis kInquiryMs = 1500;
@@ -362,6 +363,11 @@
     operator_->ReadDone(base::SteadyMillis(), token, confirmed);
     return;
   }
+  if (token == vouch_token_) {
+    vouch_token_ = 0;
+    if (confirmed) peers_->VouchForLog(vouch_asked_at_);
+    return;
+  }
   auto at = confirms_.find(token);
   if (at == confirms_.end()) return;
   dissemination::ConfirmReply reply;
@@ -448,6 +454,32 @@
   }
   if (watcher_->active()) TellVotes(now);
   WatchPlatform(now);
+  Vouch(now);
+}
+
+// Where the freshness of the whole fleet comes from: the leader knows by a majority that nothing
+// was committed without it, the reader of the list that it is still the one.
+void Controller::Vouch(base::Millis now) {
+  const consensus::Machine& machine = replica_->machine();
+  std::optional<base::Address> leader, reader;
+  if (auto member = machine.leader(); member && !leading()) leader = member->address();
+  for (const consensus::Member& voter : machine.voters()) {
+    if (voter.id == state_.duty.holder && !HoldsDuty()) reader = voter.address();
+  }
+  peers_->SetVouchers(leader, reader);
+  bool lost = vouch_token_ != 0 && now - vouch_asked_at_ > kVouchPatienceMs;
+  if (!settled() || lost) vouch_token_ = 0;
+  if (settled() && vouch_token_ == 0) {
+    vouch_token_ = next_token_++;
+    vouch_asked_at_ = now;
+    if (!replica_->ReadByHeartbeat(vouch_token_)) vouch_token_ = 0;
+  }
+  base::Millis log_age = peers_->disseminator().log_age(now);
+  bool published = sequence_ > 0 && watched_epoch_ == state_.duty.epoch;
+  if (HoldsDuty() && state_.duty.life == life_ && published && log_age >= 0 &&
+      log_age <= kHolderPatienceMs) {
+    peers_->VouchForEndpoints();
+  }
 }
 
 bool Controller::HasService(const std::string& service) const {
@@ -944,6 +976,7 @@
   number("sequence", static_cast<int64_t>(peers_->disseminator().catalog().sequence));
   number("servers", static_cast<int64_t>(peers_->disseminator().catalog().servers.size()));
   number("age-ms", peers_->disseminator().catalog_age(now));
+  number("verified-ms", peers_->disseminator().endpoints_age(now));
   w.EndObject();
   w.Key("nodes");
   w.StartArray();
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -81,6 +81,7 @@
   void OnTally(const base::Address& from, const rollout::Tally& tally);
   bool HearsLeader(base::Millis now) const;
   void WatchPlatform(base::Millis now);
+  void Vouch(base::Millis now);
   void Resign(base::Millis now, const char* why);
   std::vector<duty::Candidate> Candidates(base::Millis now) const;
   bool HoldsDuty() const;  // by the log; this life may still have to claim it
@@ -122,6 +123,9 @@
     uint64_t nonce;
   };
   std::map<uint64_t, Asked> confirms_;  // by read token
+  // The read by which a leader knows that it has all that was committed; 0 for none under way.
+  uint64_t vouch_token_ = 0;
+  base::Millis vouch_asked_at_ = 0;
   uint64_t next_token_ = 1;
   struct Asking {
     wire::HttpServer::Ticket ticket;
--- a/src/dissemination/confirm.h
+++ b/src/dissemination/confirm.h
@@ -8,20 +8,10 @@
 
 #include "base/clock.h"
 #include "base/settings.h"
+#include "dissemination/versions.h"
 
 namespace elderkeel::dissemination {
 
-// Of what the log decides and gossip carries: how new it is.
-struct Versions {
-  int64_t revision = 0;     // of the configuration
-  uint64_t evacuation = 0;  // of the orders to evacuate zones
-  uint64_t rollouts = 0;    // of the state of the roll-outs
-  template <class A>
-  void serialize(A& a) {
-    a(revision, evacuation, rollouts);
-  }
-};
-
 // A proxy asks the core whether what it holds is current.
 struct Confirm {
   uint64_t nonce = 0;
@@ -56,6 +46,8 @@
   std::optional<base::Address> OnReply(base::Millis now, const ConfirmReply& reply);
   // Whether what is held is as new as a fresh answer says. Then nothing needs to be asked any more.
   bool Holds(base::Millis now, const Versions& held) const;
+  // When the question was put whose answer is the newest; -1 for none yet.
+  base::Millis known_at() const { return known_at_; }
   // The newest that answers told of.
   const Versions& wanted() const { return wanted_; }
 
--- a/src/dissemination/disseminator.h
+++ b/src/dissemination/disseminator.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,6 +15,9 @@
 #include "catalog/catalog.h"
 #include "configuration/register.h"
 #include "demand/demand.h"
+#include "dissemination/freshness.h"
+#include "dissemination/sync.h"
+#include "dissemination/versions.h"
 #include "evacuation/orders.h"
 #include "ring/membership.h"
 #include "rollout/rollouts.h"
@@ -97,12 +101,18 @@
   }
 };
 
-// How updates reach every node, as a pure state machine: a node passes what is new to it to a few
-// others, one for each zone that has no other source and some of its own zone, and mends what was
-// missed by comparing digests with a random peer. What is small is sent at once; what is large,
-// such as a list without a base to build on, is announced by a digest, so that each node takes it
-// once. The watchers of a missing node remember that it misses something and tell it when it is
-// heard again. Within one life nothing older replaces anything newer.
+// How updates reach every node, as a pure state machine, by two paths.
+//
+// Push: a node forwards what is new to it to a few others, one for each zone that has no other
+// source and some of its own zone. What is small is sent at once; what is large is announced by a
+// digest, so that each node takes it once. Nodes also exchange digests with a random peer. This is
+// fast, and promises nothing: any of these messages may be lost or end at a node that is cut off.
+//
+// Pull: each node knows how old what it holds may be (`Freshness`), and asks its peers in turn,
+// over zones too, once that is too old (`SyncSchedule`). The bound on how late a node learns of a
+// change follows from the timers of this path alone; docs/dissemination.md adds it up.
+//
+// Within one life nothing older replaces anything newer.
 class Disseminator {
  public:
   enum class Topic : uint8_t { kConfiguration, kCatalog, kEvacuation, kRollouts };
@@ -110,22 +120,34 @@
     uint64_t seed = 1;
     base::Millis digest_every = 400;
     int in_zone_share = 8;  // of so many digest exchanges, all but one stay in the zone
+    // What is known to be younger than this is not asked for.
+    base::Millis max_age = 900;
+    // Controllers that may be asked before membership knows of any.
+    std::vector<base::Address> seeds;
   };
   struct Effects {
     std::vector<std::pair<base::Address, Digest>> digests;
     std::vector<std::pair<base::Address, PullRequest>> pulls;
+    std::vector<std::pair<base::Address, SyncRequest>> sync_requests;
     std::vector<std::pair<base::Address, ConfigurationUpdate>> configs;
     std::vector<std::pair<base::Address, EndpointUpdate>> catalogs;
     std::vector<std::pair<base::Address, ZoneDrainUpdate>> evacuations;
     std::vector<std::pair<base::Address, RolloutUpdate>> rollouts;
+    // After all else that goes to the same peer: over a connection if `follows` says so.
+    struct Reply {
+      base::Address to;
+      SyncReply reply;
+      bool follows;
+    };
+    std::vector<Reply> sync_replies;
     bool config_adopted = false;
     bool catalog_adopted = false;
     bool evacuation_adopted = false;
     bool rollouts_adopted = false;
     bool empty() const {
-      return digests.empty() && pulls.empty() && configs.empty() && catalogs.empty() &&
-             evacuations.empty() && rollouts.empty() && !config_adopted && !catalog_adopted &&
-             !evacuation_adopted && !rollouts_adopted;
+      return digests.empty() && pulls.empty() && sync_requests.empty() && sync_replies.empty() &&
+             configs.empty() && catalogs.empty() && evacuations.empty() && rollouts.empty() &&
+             !config_adopted && !catalog_adopted && !evacuation_adopted && !rollouts_adopted;
     }
   };
 
@@ -133,9 +155,13 @@
 
   void Tick(base::Millis now);
   // When the next tick has something to do.
-  base::Millis DueAt() const { return digest_at_; }
+  base::Millis DueAt() const;
   void OnDigest(base::Millis now, const base::Address& from, const Digest& digest);
   void OnPull(base::Millis now, const base::Address& from, const PullRequest& pull);
+  void OnSyncRequest(base::Millis now, const base::Address& from, const SyncRequest& request);
+  void OnSyncReply(base::Millis now, const base::Address& from, const SyncReply& reply);
+  // A message of this kind of state could not be sent there: it may be sent again.
+  void OnSendFailed(const base::Address& to) { sent_.erase(to); }
   void OnConfig(base::Millis now, const base::Address& from, const ConfigurationUpdate& update);
   void OnCatalog(base::Millis now, const base::Address& from, const EndpointUpdate& update);
   void OnEvacuation(base::Millis now, const base::Address& from, const ZoneDrainUpdate& update);
@@ -160,18 +186,32 @@
   // A reading for this node alone, when no update of the list comes any more.
   void AdoptOwnReading(base::Millis now, std::vector<catalog::Server> servers);
 
+  // A majority has said that what is held here was all that was committed at `as_of`: to the
+  // leader, or to a proxy that starts.
+  void VouchForLog(base::Millis as_of);
+  // For the reader of the list: what it published is the newest list of endpoints now.
+  void VouchForEndpoints(base::Millis now);
+  // Who vouches, as far as a controller knows it by the log; they are asked first.
+  void SetVouchers(std::optional<base::Address> leader, std::optional<base::Address> reader);
+  // What was adopted as the configuration can't be used: it is asked for anew, whole.
+  void RejectConfiguration();
+
   Effects Take();
   Digest OwnDigest(base::Millis now) const;
 
   int64_t revision() const { return revision_; }
   const std::string& config_text() const { return document_.text(); }
   // The patch that led to this configuration, and from which revision; empty if it came whole.
-  const std::string& config_patch() const { return patch_; }
-  int64_t config_base() const { return patch_base_; }
+  const std::string& config_patch() const;
+  int64_t config_base() const { return patches_.empty() ? 0 : patches_.back().base; }
   const catalog::Catalog& catalog() const { return catalog_; }
   const evacuation::Orders& orders() const { return orders_; }
   const rollout::Rollouts& rollouts() const { return rollouts_; }
   bool has_catalog() const { return read_at_ >= 0; }
+  // Milliseconds since what the log decides, as it is held here, was known to be the newest; -1 for
+  // never. All that was acknowledged before that moment is in force here.
+  base::Millis log_age(base::Millis now) const { return log_.age(now); }
+  base::Millis endpoints_age(base::Millis now) const { return endpoints_.age(now); }
   base::Millis catalog_age(base::Millis now) const { return read_at_ < 0 ? -1 : now - read_at_; }
 
  private:
@@ -182,29 +222,69 @@
     std::vector<std::string> touched;
   };
 
+  // A patch of the configuration, and the revision that it leads from.
+  struct Patch {
+    int64_t base;
+    int64_t revision;
+    std::string body;
+  };
+  // What is asked for and under way, of one kind of large state.
+  struct Fetch {
+    base::Millis again_at = 0;  // not asked for before
+    base::Millis gap = 0;       // grows until something newer is held
+  };
+  // How new another node's state is, as a digest or an answer says.
+  struct PeerState {
+    Versions versions;
+    EndpointVersion endpoints;
+    bool has_catalog = false;
+  };
+
+  // As of when what a topic holds counts as known, for asking peers.
+  template <class Version>
+  base::Millis KnownAt(const Freshness<Version>& freshness) const;
+  Versions Held() const;
+  EndpointVersion HeldEndpoints() const { return {catalog_.epoch, catalog_.sequence}; }
+  bool Lacks(const PeerState& peer) const;
+
   // False where it is too large to be sent unasked. What was just sent there is not sent again.
   bool SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
+  // Of patches_, the first of those that lead from `revision` to what is held; its size if none do
+  // or if the whole document is shorter.
+  size_t PatchesFrom(int64_t revision) const;
   bool SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch, uint64_t sequence,
                    bool exact, bool asked);
   bool RecentlySent(base::Millis now, const base::Address& to, uint64_t what);
-  void RequestMissing(base::Millis now, const base::Address& from, bool whole_config);
+  // Sends all that the peer lacks and that is small. False if something is too large.
+  bool SendMissing(base::Millis now, const base::Address& to, const PeerState& peer, bool exact);
+  // Asks for what `peer` has beyond this node, each kind of state at most once in a while.
+  void RequestMissing(base::Millis now, const base::Address& from, const PeerState& peer);
+  bool MayFetch(base::Millis now, Fetch* fetch, size_t bytes);
   void Replace(catalog::Catalog catalog, bool exact);
+  // What the log decides is newer here than before.
+  void LogAdvanced();
+  void KeepPatch(Patch patch);
   // Whom to tell at once of something new.
   std::vector<const ring::Node*> ForwardTargets(bool origin, size_t near_count);
   // `from`: who told this node; none if the update originates here.
   void Forward(base::Millis now, Topic topic, const base::Address* from);
   bool InOtherZone(const base::Address& from) const;
-  // Others of the zone; those held for lost too: they may only be hard to hear.
+  // Others of the zone; those suspected or dead too: they may only be hard to hear.
   std::vector<const ring::Node*> ZonePeers() const;
-  void RequestSyncReliably(base::Millis now);
+  // Asks for what is too old here, if that is due.
+  void RequestSync(base::Millis now);
+  // Peers that may be asked, the best first: `voucher`, the controllers by their distance, the
+  // seeds. Those that are held for dead come last.
+  std::vector<base::Address> SyncSources(const std::optional<base::Address>& voucher) const;
 
   Options options_;
   const ring::Membership* members_;
   base::Random random_;
   int64_t revision_ = 0;
   configuration::IndexedDocument document_;
-  int64_t patch_base_ = 0;
-  std::string patch_;  // leads from patch_base_ to revision_; empty if there is none
+  bool document_rejected_ = false;
+  std::deque<Patch> patches_;  // each leads to the next one's base, the last to revision_
+  size_t patches_bytes_ = 0;
   catalog::Catalog catalog_;
   bool exact_ = false;
   std::deque<Step> history_;  // leads up to catalog_
@@ -212,9 +292,15 @@
   rollout::Rollouts rollouts_;
   base::Millis read_at_ = -1;
   base::Millis digest_at_ = 0;
-  base::Millis pull_at_ = 0;
-  base::Millis received_at_ = 0;  // when any peer's updates or digest last came
-  std::set<uint64_t> hints_;      // nodes that missed something, among those that this one watches
+  Fetch fetch_config_, fetch_catalog_, fetch_other_;
+  size_t document_bytes_ = 0;  // of the newest configuration that a peer told of
+  Freshness<Versions> log_;
+  Freshness<EndpointVersion> endpoints_;
+  SyncSchedule log_schedule_;
+  SyncSchedule endpoints_schedule_;
+  std::optional<base::Address> leader_;
+  std::optional<base::Address> reader_;
+  std::set<uint64_t> hints_;  // nodes that missed something, among those that this one watches
   struct Sent {
     base::Millis at = 0;
     uint64_t what = 0;
--- a/src/dissemination/peers.cc
+++ b/src/dissemination/peers.cc
@@ -41,8 +41,13 @@
   return seeds;
 }
 
-Disseminator::Options DisseminatorOptions(const base::Settings& settings) {
+// A node is out of date for half of the time that the platform allows at most. The sum that this
+// follows from stands in docs/dissemination.md.
+Disseminator::Options DisseminatorOptions(const base::Settings& settings, ring::Program program) {
   Disseminator::Options options;
+  base::Millis bound = settings.PropagationMs();
+  options.max_age = program == ring::Program::kController ? bound / 3 : bound * 3 / 5;
+  options.seeds = SeedNodes(settings, program);
   options.seed = base::SystemSeed();
   options.digest_every = settings.digest_ms;
   return options;
@@ -60,7 +65,7 @@
             }),
       members_(MemberOptions(settings, program), SeedNodes(settings, program),
                base::SteadyMillis()),
-      disseminator_(DisseminatorOptions(settings), &members_, base::SteadyMillis()) {}
+      disseminator_(DisseminatorOptions(settings, program), &members_, base::SteadyMillis()) {}
 
 base::Result<bool> Peers::Start() {
   auto listening = mesh_.Listen();
@@ -116,6 +121,15 @@
   members_.SetReady(ready);
   Pump();
 }
+void Peers::VouchForLog(base::Millis as_of) {
+  disseminator_.VouchForLog(as_of);
+  Pump();
+}
+void Peers::VouchForEndpoints() { disseminator_.VouchForEndpoints(base::SteadyMillis()); }
+void Peers::SetVouchers(std::optional<base::Address> leader, std::optional<base::Address> reader) {
+  disseminator_.SetVouchers(std::move(leader), std::move(reader));
+}
+void Peers::RejectConfiguration() { disseminator_.RejectConfiguration(); }
 bool Peers::Publish(catalog::Catalog catalog) {
   bool taken = disseminator_.Publish(base::SteadyMillis(), std::move(catalog));
   Pump();
@@ -193,6 +207,12 @@
     case wire::Kind::kPullRequest:
       take(PullRequest(), [&](const auto& m) { disseminator_.OnPull(now, from, m); });
       break;
+    case wire::Kind::kSyncRequest:
+      take(SyncRequest(), [&](const auto& m) { disseminator_.OnSyncRequest(now, from, m); });
+      break;
+    case wire::Kind::kSyncReply:
+      take(SyncReply(), [&](const auto& m) { disseminator_.OnSyncReply(now, from, m); });
+      break;
     case wire::Kind::kConfigurationUpdate:
       take(ConfigurationUpdate(), [&](const auto& m) { disseminator_.OnConfig(now, from, m); });
       break;
@@ -257,10 +277,18 @@
     for (auto& [to, m] : ring.summaries) SendSmall(to, wire::Kind::kSummary, wire::Encode(m));
     for (auto& [to, m] : effects.digests) SendDigest(to, std::move(m));
     for (auto& [to, m] : effects.pulls) mesh_.Send(to, wire::Kind::kPullRequest, m);
-    for (auto& [to, m] : effects.rollouts) mesh_.Send(to, wire::Kind::kRolloutUpdate, m);
-    for (auto& [to, m] : effects.configs) mesh_.Send(to, wire::Kind::kConfigurationUpdate, m);
-    for (auto& [to, m] : effects.catalogs) mesh_.Send(to, wire::Kind::kEndpointUpdate, m);
-    for (auto& [to, m] : effects.evacuations) mesh_.Send(to, wire::Kind::kZoneDrainUpdate, m);
+    auto send = [this](const base::Address& to, wire::Kind kind, const auto& message) {
+      if (!mesh_.Send(to, kind, message)) disseminator_.OnSendFailed(to);
+    };
+    for (auto& [to, m] : effects.rollouts) send(to, wire::Kind::kRolloutUpdate, m);
+    for (auto& [to, m] : effects.configs) send(to, wire::Kind::kConfigurationUpdate, m);
+    for (auto& [to, m] : effects.catalogs) send(to, wire::Kind::kEndpointUpdate, m);
+    for (auto& [to, m] : effects.evacuations) send(to, wire::Kind::kZoneDrainUpdate, m);
+    for (auto& [to, m] : effects.sync_requests)
+      SendSync(to, wire::Kind::kSyncRequest, m, m.reliable);
+    for (auto& reply : effects.sync_replies) {
+      SendSync(reply.to, wire::Kind::kSyncReply, reply.reply, reply.follows);
+    }
     if (effects.rollouts_adopted && hooks_.rollouts_adopted) hooks_.rollouts_adopted();
     if (effects.config_adopted && hooks_.config_adopted) hooks_.config_adopted();
     if (effects.catalog_adopted && hooks_.catalog_adopted) hooks_.catalog_adopted();
--- a/src/dissemination/peers.h
+++ b/src/dissemination/peers.h
@@ -40,6 +40,10 @@
   void Commit(const rollout::Rollouts& rollouts);
   void NoteRolloutVersion(const base::Address& from, uint64_t version);
   bool Publish(catalog::Catalog catalog);
+  void VouchForLog(base::Millis as_of);
+  void VouchForEndpoints();
+  void SetVouchers(std::optional<base::Address> leader, std::optional<base::Address> reader);
+  void RejectConfiguration();
   void Confirm(uint64_t epoch);
   void AdoptOwnReading(std::vector<catalog::Server> servers);
   // Asks a node what it has; if it has more than this one, that is then asked for.
@@ -54,6 +58,10 @@
  private:
   void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
   void Pump();
+  template <class Message>
+  void SendSync(const base::Address& to, wire::Kind kind, const Message& message, bool reliable) {
+    if (reliable || !mesh_.SendDatagram(to, kind, message)) mesh_.Send(to, kind, message);
+  }
   void SendDigest(const base::Address& to, Digest digest);
   void Tick();
   // Ticks when something is due next, not more often than needed: an idle node sleeps.
--- /dev/null
+++ b/src/dissemination/sync.cc
@@ -0,0 +1,52 @@
+#include "dissemination/sync.h"
+
+#include <algorithm>
+
+namespace elderkeel::dissemination {
+namespace {
+constexpr size_t kAtOnce = 2;  // peers that are asked together after the first
+}
+
+base::Millis SyncSchedule::DueAt(base::Millis known_at) const {
+  base::Millis stale_at = known_at < 0 ? 0 : known_at + options_.max_age + 1;
+  return std::max(stale_at, next_at_);
+}
+
+std::vector<base::Address> SyncSchedule::Next(base::Millis now,
+                                              std::vector<base::Address> sources) {
+  std::vector<base::Address> chosen;
+  if (sources.empty()) {
+    next_at_ = now + options_.step;
+    return chosen;
+  }
+  if (preferred_) {
+    auto at = std::find(sources.begin(), sources.end(), *preferred_);
+    if (at != sources.end()) std::rotate(sources.begin(), at, at + 1);
+  }
+  size_t count = asked_ == 0 ? 1 : kAtOnce;
+  for (size_t i = 0; i < std::min(count, sources.size()); ++i) {
+    chosen.push_back(sources[(asked_ + i) % sources.size()]);
+  }
+  size_t rounds_before = asked_ / sources.size();
+  asked_ += count;
+  // Each time that all were asked in vain, more patience.
+  if (asked_ / sources.size() > std::max<size_t>(rounds_before, 1)) {
+    step_ = std::min(step_ * 2, options_.slowest);
+  }
+  next_at_ = now + step_;
+  return chosen;
+}
+
+void SyncSchedule::Answered(base::Millis now, const base::Address& from, base::Millis known_at) {
+  if (!Fresh(now, known_at)) return;
+  if (asked_ > 0) preferred_ = from;
+  asked_ = 0;
+  step_ = options_.step;
+  next_at_ = now + step_;
+}
+
+void SyncSchedule::Distrust(const base::Address& from) {
+  if (preferred_ == from) preferred_.reset();
+}
+
+}  // namespace elderkeel::dissemination
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -302,7 +302,8 @@
   return means_[route];
 }
 
-void Front::Reject(Ticket ticket, int status, const char* reason, const std::string& attempt) {
+void Front::Reject(Ticket ticket, int status, const char* reason, const std::string& attempt,
+                   bool close) {
   Message answer = wire::OwnAnswer(status, reason);
   if (status == 503)
     answer.headers.push_back({"Retry-After", serving_ ? kRetryAfter : kStartRetryAfter});
@@ -313,12 +314,13 @@
   record.step = Step::kAdmission;
   record.revision = revision();
   recorder_->Request(record, true);
-  server_.Answer(ticket, answer, status == 400);
+  server_.Answer(ticket, answer, close || status == 400);
 }
 
 void Front::OnRequest(Ticket ticket, Message&& request) {
   const std::string* id = request.Find(kAttempt);
   std::string attempt = id ? *id : "";
+  if (rejecting_) return Reject(ticket, 503, "this node ends", attempt, true);
   if (!able()) return Reject(ticket, 503, "no configuration or list yet", attempt);
   if (!serving_) return Reject(ticket, 503, "the configuration is not confirmed yet", attempt);
   if (request.method == "CONNECT" || request.method == "TRACE") {
@@ -330,6 +332,9 @@
   }
   const std::string* host = request.Find("Host");
   const configuration::Route* route = host ? table_->Match(*host, request.Path()) : nullptr;
+  if (!route && may_deny_ && !may_deny_()) {
+    return Reject(ticket, 503, "the configuration may be out of date", attempt);
+  }
   if (!route) return Reject(ticket, 404, "no route", attempt);
   if (attempt.empty() || request.Count(kAttempt) != 1) {
     return Reject(ticket, 400, "needs one attempt id", attempt);
--- a/src/forwarding/front.h
+++ b/src/forwarding/front.h
@@ -68,6 +68,12 @@
   // Until what is held is known to be current, requests get 503 too.
   void SetServing(bool serving) { serving_ = serving; }
 
+  // Whether what is held is known to be recent enough to deny by it that a route exists. Without it
+  // denials always stand.
+  void SetDenialGuard(std::function<bool()> guard) { may_deny_ = std::move(guard); }
+
+  // From here on requests are rejected as they come, and never offered to a server.
+  void RejectNew() { rejecting_ = true; }
   void SetLeaving() { server_.SetLeaving(true); }
   void StopListening() { server_.StopListening(); }
   void CloseIdle() { server_.CloseIdle(); }
@@ -126,7 +132,8 @@
 
   void OnRequest(Ticket ticket, wire::Message&& request);
   void OnGone(Ticket ticket);
-  void Reject(Ticket ticket, int status, const char* reason, const std::string& attempt);
+  void Reject(Ticket ticket, int status, const char* reason, const std::string& attempt,
+              bool close = false);
   // Sends to the best server, or waits for one.
   void Place(Exchange* x);
   bool SendTo(Exchange* x, uint32_t server);
@@ -183,6 +190,8 @@
   std::shared_ptr<const configuration::Table> table_;
   base::Millis has_catalog_at_ = -1;
   bool serving_ = false;
+  bool rejecting_ = false;
+  std::function<bool()> may_deny_;
   uint64_t versions_ = 0;  // of the state of the roll-outs
   static constexpr base::Millis kVersionsPatienceMs = 1500;
   Servers servers_;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "directory/directory.h"
+#include "proxy/shutdown.h"
 
 namespace elderkeel::proxy {
 namespace {
@@ -51,6 +52,10 @@
   telemetry.flush_ms = settings_.telemetry_flush_ms;
   recorder_ = std::make_unique<telemetry::Recorder>(telemetry, MakeSink());
   front_ = std::make_unique<forwarding::Front>(loop_, settings_, recorder_.get());
+  front_->SetDenialGuard([this] {
+    base::Millis age = peers_->disseminator().log_age(base::SteadyMillis());
+    return age >= 0 && age <= settings_.PropagationMs();
+  });
   platform_ = std::make_unique<catalog::Platform>(loop_, settings_.platform);
 
   dissemination::Peers::Hooks hooks;
@@ -122,6 +127,7 @@
   }
   if (!table) {
     base::Warn("configuration.unread", {{"revision", peers_->disseminator().revision()}});
+    peers_->RejectConfiguration();
     return;
   }
   front_->Adopt(std::move(table));
@@ -144,6 +150,7 @@
     reply.node = settings_.node_name;
     reply.lines.push_back(
         "revision=" + std::to_string(peers_->disseminator().revision()) +
+        " verified_ms=" + std::to_string(peers_->disseminator().log_age(now)) +
         " catalog_epoch=" + std::to_string(peers_->disseminator().catalog().epoch) +
         " catalog_age_ms=" + std::to_string(peers_->disseminator().catalog_age(now)) + " ready=" +
         (readiness_.Ready(now) ? "yes" : "no") + " busy=" + std::to_string(front_->busy()) +
@@ -197,6 +204,7 @@
       confirmation_.Holds(now, {disseminator.revision(), disseminator.orders().version(),
                                 disseminator.rollouts().version()})) {
     readiness_.Confirmed();
+    peers_->VouchForLog(confirmation_.known_at());
     base::Info("configuration.confirmed", {{"revision", disseminator.revision()}});
   }
   if (front_->able()) readiness_.Able(now);
@@ -318,20 +326,9 @@
     ReadForItself(now);
   }
   peers_->SetReady(readiness_.Ready(now));
-  switch (readiness_.At(now, front_->busy())) {
-    case readiness::Readiness::Phase::kServing:
-    case readiness::Readiness::Phase::kNotReady:
-      break;
-    case readiness::Readiness::Phase::kDraining:
-      front_->CloseIdle();
-      break;
-    case readiness::Readiness::Phase::kRejecting:
-      front_->FinishAll();
-      break;
-    case readiness::Readiness::Phase::kStopped:
-      base::Info("proxy.left");
-      loop_->Stop();
-      break;
+  if (AdvanceShutdown(readiness_.At(now, front_->busy()), front_.get())) {
+    base::Info("proxy.left", {{"busy", front_->busy()}});
+    loop_->Stop();
   }
 }
 
--- /dev/null
+++ b/src/proxy/shutdown.cc
@@ -0,0 +1,31 @@
+#include "proxy/shutdown.h"
+
+namespace elderkeel::proxy {
+
+bool AdvanceShutdown(readiness::Readiness::Phase phase, forwarding::Front* front) {
+  using Phase = readiness::Readiness::Phase;
+  switch (phase) {
+    case Phase::kServing:
+    case Phase::kNotReady:
+      return false;
+    case Phase::kDraining:
+      front->CloseIdle();
+      return false;
+    case Phase::kRejecting:
+      front->RejectNew();
+      front->CloseIdle();
+      return false;
+    case Phase::kAnswering:
+      front->RejectNew();
+      front->FinishAll();
+      front->CloseIdle();
+      return false;
+    case Phase::kStopped:
+      front->RejectNew();
+      front->FinishAll();
+      return true;
+  }
+  return true;
+}
+
+}  // namespace elderkeel::proxy
--- a/src/readiness/readiness.h
+++ b/src/readiness/readiness.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "base/clock.h"
 
 namespace elderkeel::readiness {
@@ -8,7 +10,7 @@
 //
 // A proxy serves, and is ready, once it has a catalog and what the core has confirmed as current.
 // If the core can't confirm for longer than a machine of it is cut off for, what other nodes serve
-// by is good enough: an old configuration serves better than none for good, and news replaces it.
+// by is good enough: an old configuration serves better than none for good, and updates replace it.
 class Readiness {
  public:
   struct Options {
@@ -16,7 +18,10 @@
     base::Millis notice = 2500;        // the platform may still send for so long after "not ready"
     base::Millis grace = 6000;
   };
-  enum class Phase { kServing, kNotReady, kDraining, kRejecting, kStopped };
+  // Of a proxy that ends, in this order: it serves on, and says that it isn't ready; then idle
+  // connections are closed too; what comes from here on is rejected without being offered to a
+  // server, and what is here goes on; what is still here gets its final answer; the end.
+  enum class Phase { kServing, kNotReady, kDraining, kRejecting, kAnswering, kStopped };
 
   Readiness() : Readiness(Options()) {}
   explicit Readiness(Options options) : options_(options) {}
@@ -37,17 +42,17 @@
   }
   bool Ready(base::Millis now) const { return !leaving() && Serving(now); }
 
-  // Leaving: first connections are still accepted, since the platform learns only by asking; then
-  // what is here is finished; near the end of grace what is left is answered; then the end.
+  // `busy`: connections with a request or with bytes of an answer that have not gone out. Whoever
+  // takes a request has time to answer it: what comes is rejected well before what is here is given
+  // up, and the end waits for the last byte, as long as the platform waits for the process.
   Phase At(base::Millis now, size_t busy) const {
     if (!leaving()) return Phase::kServing;
-    base::Millis gone = now - left_at_;
-    base::Millis notice =
-        options_.notice < options_.grace / 2 ? options_.notice : options_.grace / 2;
-    if (gone < notice) return Phase::kNotReady;
-    if (gone >= options_.grace - options_.grace / 8) return Phase::kStopped;
-    if (gone >= options_.grace - options_.grace / 5) return Phase::kRejecting;
-    return busy > 0 ? Phase::kDraining : Phase::kStopped;
+    base::Millis elapsed = now - left_at_;
+    base::Millis notice = std::min(options_.notice, options_.grace / 2);
+    if (elapsed < notice) return Phase::kNotReady;
+    if (busy == 0 || elapsed >= options_.grace * 15 / 16) return Phase::kStopped;
+    if (elapsed >= options_.grace * 4 / 5) return Phase::kAnswering;
+    return elapsed >= options_.grace * 5 / 8 ? Phase::kRejecting : Phase::kDraining;
   }
 
  private:
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -36,6 +36,8 @@
   kTally,
   kTouch,
   kVote,
+  kSyncRequest,
+  kSyncReply,
 };
 
 constexpr size_t kMaxFrame = 8u << 20;
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -7,6 +7,7 @@
 
 #include <thread>
 
+#include "proxy/shutdown.h"
 #include "wire/socket.h"
 
 namespace elderkeel::forwarding {
@@ -334,6 +335,91 @@
   EXPECT_EQ(Status(Exchange(Ask("get"))), 200);
 }
 
+// That a route does not exist is said only by what is known to be recent.
+TEST_F(FrontTest, DeniesNothingByWhatMayBeOutOfDate) {
+  Serve("i-1", [](const std::string& r) { return Good(r); });
+  Configure();
+  bool recent = false;
+  front_->SetDenialGuard([&] { return recent; });
+  std::string unknown = "GET /got/ HTTP/1.1\r\nHost: h.example\r\nElderkeel-Attempt-Id: a\r\n\r\n";
+  std::string answer = Exchange(unknown);
+  EXPECT_EQ(Status(answer), 503);
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+  EXPECT_EQ(Status(Exchange(Ask("get"))), 200);  // what is there is served all the same
+  recent = true;
+  EXPECT_EQ(Status(Exchange(unknown)), 404);
+}
+
+// Clients come to a proxy that ends until it is gone, each on a connection of its own, and its
+// server never answers. Whatever was offered to the server gets an answer before the end, and what
+// comes late is rejected without being offered.
+TEST_F(FrontTest, WhatAnEndingProxyTakesItAnswers) {
+  auto* server = Serve("i-1", [](const std::string&) { return std::string(); });
+  catalog_.servers.back().capacity = 100;
+  Configure(5000, 5000);
+  struct Client {
+    int fd = -1;
+    std::string id;
+    base::Millis begun = 0;  // since the end began
+    bool sent = false;
+    std::string answer = "";
+  };
+  readiness::Readiness::Options options;
+  options.grace = 1200;
+  options.notice = 500;
+  readiness::Readiness readiness(options);
+  base::Millis begin = base::SteadyMillis();
+  readiness.Leave(begin);
+  front_->SetLeaving();
+  std::vector<Client> clients;
+  base::Timer tick, wake;
+  bool ended = false;
+  tick.Repeat(&loop_, 20, [&] {
+    ended |=
+        proxy::AdvanceShutdown(readiness.At(base::SteadyMillis(), front_->busy()), front_.get());
+  });
+  auto receive = [](Client* client) {
+    char buffer[4096];
+    for (ssize_t n; (n = recv(client->fd, buffer, sizeof buffer, MSG_DONTWAIT)) > 0;) {
+      client->answer.append(buffer, static_cast<size_t>(n));
+    }
+  };
+  base::Millis next = begin;
+  while (!ended && base::SteadyMillis() - begin < 3000) {
+    base::Millis now = base::SteadyMillis();
+    if (now >= next) {
+      next = now + 15;
+      clients.push_back({wire::StartConnect(settings_.front, 0),
+                         "late-" + std::to_string(clients.size()), now - begin});
+    }
+    wake.Start(&loop_, 2, [] {});
+    event_base_loop(loop_.base(), EVLOOP_ONCE);
+    for (Client& client : clients) {
+      std::string bytes = Ask("post", client.id, "9000");
+      if (!client.sent) client.sent = send(client.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+      receive(&client);
+    }
+  }
+  EXPECT_TRUE(ended);
+  front_.reset();  // as a process that ends
+  int offered = 0, rejected = 0;
+  for (Client& client : clients) {
+    receive(&client);
+    bool ran = std::any_of(
+        server->requests.begin(), server->requests.end(),
+        [&](const std::string& r) { return HeaderOf(r, "Elderkeel-Attempt-Id") == client.id; });
+    offered += ran;
+    rejected += Status(client.answer) == 503;
+    if (ran) {
+      EXPECT_EQ(Whole(client.answer), 1) << client.id << " at " << client.begun << " ms";
+      EXPECT_LT(client.begun, options.grace * 5 / 8 + 60) << client.id;
+    }
+    close(client.fd);
+  }
+  EXPECT_GT(offered, 10);
+  EXPECT_GT(rejected, 5);
+}
+
 TEST_F(FrontTest, RefusesWhatItMustNotForward) {
   auto* server = Serve("i-1", [](const std::string& r) { return Good(r); });
   std::string big(700, 'x');
