--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -180,7 +180,7 @@
     if (effects.role_changed) hooks_.role_changed();
     for (uint64_t token : effects.reads_failed) hooks_.read_done(token, false);
     for (uint64_t token : effects.reads_ready) hooks_.read_done(token, true);
-    if (effects.committed.size() > 0 && machine_->CompactionDue()) {
+    if (!effects.committed.empty() && machine_->CompactionDue()) {
       machine_->Compact(machine_->commit(), hooks_.snapshot_state());
     }
   }
--- a/src/dissemination/disseminator.h
+++ b/src/dissemination/disseminator.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -14,8 +12,9 @@
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "configuration/register.h"
-#include "demand/demand.h"
 #include "dissemination/freshness.h"
+#include "dissemination/messages.h"
+#include "dissemination/patch_history.h"
 #include "dissemination/sync.h"
 #include "dissemination/versions.h"
 #include "evacuation/orders.h"
@@ -24,83 +23,6 @@
 
 namespace elderkeel::dissemination {
 
-// What a node has, in a few bytes; two nodes that compare them find every gap.
-struct Digest {
-  int64_t revision = 0;
-  uint64_t epoch = 0;
-  uint64_t sequence = 0;
-  uint64_t evacuation = 0;
-  uint64_t rollouts = 0;
-  int32_t catalog_age_ms = -1;  // since the platform was last read for it; -1 for never
-  bool answer = false;          // the sender would like the receiver's digest
-  bool reliable = false;        // sent, and to be answered, over a connection
-  demand::Report demand;        // rides along; a proxy's alone
-  template <class A>
-  void serialize(A& a) {
-    a(revision, epoch, sequence, evacuation, rollouts, catalog_age_ms, answer, reliable, demand);
-  }
-};
-
-// Asks for what the receiver has beyond this.
-struct PullRequest {
-  int64_t revision = 0;
-  uint64_t epoch = 0;
-  uint64_t sequence = 0;
-  uint64_t evacuation = 0;
-  uint64_t rollouts = 0;
-  bool exact = false;  // the sender holds the list just as (epoch, sequence) names it
-  template <class A>
-  void serialize(A& a) {
-    a(revision, epoch, sequence, evacuation, rollouts, exact);
-  }
-};
-
-// A committed configuration: whole, or the patch that leads to it from `base`.
-struct ConfigurationUpdate {
-  int64_t revision = 0;
-  int64_t base = 0;
-  std::string body;
-  template <class A>
-  void serialize(A& a) {
-    a(revision, base, body);
-  }
-};
-
-// The list whole, or what changed in it since (base_epoch, base_sequence).
-struct EndpointUpdate {
-  uint64_t epoch = 0;
-  uint64_t sequence = 0;
-  bool whole = true;
-  bool exact = true;  // just as its holder read it, so that changes may be built upon it
-  uint64_t base_epoch = 0;
-  uint64_t base_sequence = 0;
-  int32_t age_ms = 0;
-  std::vector<catalog::Server> servers;  // all, or those that are new or changed
-  std::vector<std::string> gone;
-  template <class A>
-  void serialize(A& a) {
-    a(epoch, sequence, whole, exact, base_epoch, base_sequence, age_ms, servers, gone);
-  }
-};
-
-// Which zones are evacuated, by the log's order.
-struct ZoneDrainUpdate {
-  evacuation::Orders orders;
-  template <class A>
-  void serialize(A& a) {
-    a(orders);
-  }
-};
-
-// Which versions are in force and which roll-outs are under way, by the log's order.
-struct RolloutUpdate {
-  rollout::Rollouts rollouts;
-  template <class A>
-  void serialize(A& a) {
-    a(rollouts);
-  }
-};
-
 // How updates reach every node, as a pure state machine, by two paths.
 //
 // Push: a node forwards what is new to it to a few others, one for each zone that has no other
@@ -203,7 +125,7 @@
   const std::string& config_text() const { return document_.text(); }
   // The patch that led to this configuration, and from which revision; empty if it came whole.
   const std::string& config_patch() const;
-  int64_t config_base() const { return patches_.empty() ? 0 : patches_.back().base; }
+  int64_t config_base() const { return patches_.last() ? patches_.last()->base : 0; }
   const catalog::Catalog& catalog() const { return catalog_; }
   const evacuation::Orders& orders() const { return orders_; }
   const rollout::Rollouts& rollouts() const { return rollouts_; }
@@ -222,12 +144,6 @@
     std::vector<std::string> touched;
   };
 
-  // A patch of the configuration, and the revision that it leads from.
-  struct Patch {
-    int64_t base;
-    int64_t revision;
-    std::string body;
-  };
   // What is asked for and under way, of one kind of large state.
   struct Fetch {
     base::Millis again_at = 0;  // not asked for before
@@ -249,9 +165,6 @@
 
   // False where it is too large to be sent unasked. What was just sent there is not sent again.
   bool SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
-  // Of patches_, the first of those that lead from `revision` to what is held; its size if none do
-  // or if the whole document is shorter.
-  size_t PatchesFrom(int64_t revision) const;
   bool SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch, uint64_t sequence,
                    bool exact, bool asked);
   bool RecentlySent(base::Millis now, const base::Address& to, uint64_t what);
@@ -260,10 +173,11 @@
   // Asks for what `peer` has beyond this node, each kind of state at most once in a while.
   void RequestMissing(base::Millis now, const base::Address& from, const PeerState& peer);
   bool MayFetch(base::Millis now, Fetch* fetch, size_t bytes);
+  // Whether `from` may be asked for what it has beyond this node and did not send unasked.
+  bool MayAsk(base::Millis now, const base::Address& from);
   void Replace(catalog::Catalog catalog, bool exact);
   // What the log decides is newer here than before.
   void LogAdvanced();
-  void KeepPatch(Patch patch);
   // Whom to tell at once of something new.
   std::vector<const ring::Node*> ForwardTargets(bool origin, size_t near_count);
   // `from`: who told this node; none if the update originates here.
@@ -273,9 +187,6 @@
   std::vector<const ring::Node*> ZonePeers() const;
   // Asks for what is too old here, if that is due.
   void RequestSync(base::Millis now);
-  // Peers that may be asked, the best first: `voucher`, the controllers by their distance, the
-  // seeds. Those that are held for dead come last.
-  std::vector<base::Address> SyncSources(const std::optional<base::Address>& voucher) const;
 
   Options options_;
   const ring::Membership* members_;
@@ -283,8 +194,7 @@
   int64_t revision_ = 0;
   configuration::IndexedDocument document_;
   bool document_rejected_ = false;
-  std::deque<Patch> patches_;  // each leads to the next one's base, the last to revision_
-  size_t patches_bytes_ = 0;
+  PatchHistory patches_;
   catalog::Catalog catalog_;
   bool exact_ = false;
   std::deque<Step> history_;  // leads up to catalog_
@@ -292,6 +202,7 @@
   rollout::Rollouts rollouts_;
   base::Millis read_at_ = -1;
   base::Millis digest_at_ = 0;
+  base::Millis lacking_since_ = -1;  // as answers of peers say; -1 for not
   Fetch fetch_config_, fetch_catalog_, fetch_other_;
   size_t document_bytes_ = 0;  // of the newest configuration that a peer told of
   Freshness<Versions> log_;
--- /dev/null
+++ b/src/dissemination/disseminator_endpoints.cc
@@ -0,0 +1,150 @@
+// The list of endpoints, as its reader tells it.
+#include <algorithm>
+
+#include "dissemination/disseminator.h"
+
+namespace elderkeel::dissemination {
+namespace {
+constexpr size_t kSmallServers = 48;    // changed servers that may be sent unasked
+constexpr size_t kHistory = 64;         // steps of the list that are remembered
+constexpr size_t kTouchedLimit = 2048;  // servers that all these steps may name
+}  // namespace
+
+bool Disseminator::SendCatalog(base::Millis now, const base::Address& to, uint64_t epoch,
+                               uint64_t sequence, bool exact, bool asked) {
+  EndpointUpdate update;
+  update.epoch = catalog_.epoch;
+  update.sequence = catalog_.sequence;
+  update.exact = exact_;
+  update.age_ms = static_cast<int32_t>(std::min<base::Millis>(catalog_age(now), INT32_MAX));
+  // The steps from what the peer has, if they are remembered.
+  size_t first = history_.size();
+  for (size_t i = history_.size(); exact && exact_ && i-- > 0;) {
+    if (history_[i].epoch == epoch && history_[i].sequence == sequence) {
+      first = i;
+      break;
+    }
+  }
+  if (first < history_.size()) {
+    update.whole = false;
+    update.base_epoch = epoch;
+    update.base_sequence = sequence;
+    std::set<std::string> touched;
+    for (size_t i = first; i < history_.size(); ++i) {
+      touched.insert(history_[i].touched.begin(), history_[i].touched.end());
+    }
+    for (const std::string& id : touched) {
+      auto at = std::lower_bound(
+          catalog_.servers.begin(), catalog_.servers.end(), id,
+          [](const catalog::Server& server, const std::string& want) { return server.id < want; });
+      if (at != catalog_.servers.end() && at->id == id) {
+        update.servers.push_back(*at);
+      } else {
+        update.gone.push_back(id);
+      }
+    }
+  } else if (!asked && catalog_.servers.size() > kSmallServers) {
+    return false;  // before the whole list is copied
+  } else {
+    update.servers = catalog_.servers;
+  }
+  if (update.servers.size() + update.gone.size() > kSmallServers) {
+    if (!asked) return false;
+    if (RecentlySent(now, to, catalog_.epoch << 32 | catalog_.sequence << 1 | 1)) return true;
+  }
+  for (catalog::Server& server : update.servers) {
+    server.warmup_left_ms = static_cast<int32_t>(std::max<base::Millis>(0, server.warm_at - now));
+  }
+  out_.catalogs.push_back({to, std::move(update)});
+  return true;
+}
+
+// Takes another list in place of this one, and remembers the step if both are exact.
+void Disseminator::Replace(catalog::Catalog catalog, bool exact) {
+  if (exact && exact_ && has_catalog()) {
+    history_.push_back({catalog_.epoch, catalog_.sequence,
+                        catalog::Differences(catalog_.servers, catalog.servers)});
+    size_t touched = 0;
+    for (const Step& step : history_) touched += step.touched.size();
+    while (!history_.empty() && (history_.size() > kHistory || touched > kTouchedLimit)) {
+      touched -= history_.front().touched.size();
+      history_.pop_front();
+    }
+  } else {
+    history_.clear();
+  }
+  catalog_ = std::move(catalog);
+  exact_ = exact;
+  fetch_catalog_ = Fetch();
+  out_.catalog_adopted = true;
+  endpoints_.Advance(HeldEndpoints());
+}
+
+bool Disseminator::Publish(base::Millis now, catalog::Catalog catalog) {
+  if (has_catalog() && !catalog.NewerThan(catalog_.epoch, catalog_.sequence)) return false;
+  bool vouched = catalog.epoch > 0;
+  Replace(std::move(catalog), vouched);
+  read_at_ = now;
+  Forward(now, Topic::kCatalog, nullptr);
+  if (vouched) return true;
+  for (const ring::Node* node : members_->Others()) {
+    if (node->zone == members_->self().zone) SendCatalog(now, node->address(), 0, 0, false, true);
+  }
+  return true;
+}
+
+void Disseminator::Confirm(base::Millis now, uint64_t epoch) {
+  if (epoch != catalog_.epoch) return;
+  read_at_ = now;
+  // One node of each other zone hears what the newest is: a message that was lost on its way there
+  // would else wait for a digest exchange that happens to cross zones.
+  for (const ring::Node* node : ForwardTargets(true, 0)) {
+    out_.digests.push_back({node->address(), OwnDigest(now)});
+  }
+}
+
+void Disseminator::AdoptOwnReading(base::Millis now, std::vector<catalog::Server> servers) {
+  if (has_catalog() && catalog::SameServers(catalog_.servers, servers)) {
+    read_at_ = now;
+    return;
+  }
+  Replace({catalog_.epoch, catalog_.sequence, std::move(servers)}, false);
+  read_at_ = now;
+}
+
+void Disseminator::OnCatalog(base::Millis now, const base::Address& from,
+                             const EndpointUpdate& update) {
+  catalog::Catalog offered{update.epoch, update.sequence, {}};
+  bool newer = offered.NewerThan(catalog_.epoch, catalog_.sequence);
+  // The holder's own words replace a reading that this node made for itself meanwhile.
+  bool truer = update.exact && !exact_ && update.whole && update.epoch == catalog_.epoch &&
+               update.sequence == catalog_.sequence;
+  if (!newer && !truer && has_catalog()) return;
+  auto anchored = [now](catalog::Server server) {
+    server.Anchor(now);
+    return server;
+  };
+  if (update.whole) {
+    for (const catalog::Server& server : update.servers)
+      offered.servers.push_back(anchored(server));
+  } else {
+    if (!has_catalog() || !exact_ || update.base_epoch != catalog_.epoch ||
+        update.base_sequence != catalog_.sequence) {
+      RequestMissing(now, from, PeerState{{}, {update.epoch, update.sequence}, true});
+      return;
+    }
+    std::map<std::string, catalog::Server> changed;
+    for (const catalog::Server& server : update.servers) changed[server.id] = anchored(server);
+    std::set<std::string> gone(update.gone.begin(), update.gone.end());
+    for (const catalog::Server& server : catalog_.servers) {
+      if (gone.count(server.id)) continue;
+      changed.emplace(server.id, server);  // keeps what changed
+    }
+    for (auto& [id, server] : changed) offered.servers.push_back(std::move(server));
+  }
+  Replace(std::move(offered), update.exact);
+  read_at_ = now - std::max<int32_t>(0, update.age_ms);
+  Forward(now, Topic::kCatalog, &from);
+}
+
+}  // namespace elderkeel::dissemination
--- /dev/null
+++ b/src/dissemination/disseminator_log.cc
@@ -0,0 +1,147 @@
+// What the log decides: the configuration, the drains of zones, the roll-outs.
+#include "dissemination/disseminator.h"
+
+namespace elderkeel::dissemination {
+namespace {
+constexpr size_t kSmall = 4096;  // bytes that may be sent to a peer unasked
+}  // namespace
+
+bool Disseminator::SendConfig(base::Millis now, const base::Address& to, int64_t peer_has,
+                              bool asked) {
+  if (Held().revision == 0) return true;
+  size_t first = patches_.From(peer_has, document_.SizeAtMost());
+  bool whole = first == patches_.size();
+  size_t bytes = whole ? document_.SizeAtMost() : 0;
+  for (size_t i = first; i < patches_.size(); ++i) bytes += patches_.at(i).body.size();
+  if (bytes > kSmall) {
+    if (!asked) return false;
+    if (RecentlySent(now, to, static_cast<uint64_t>(revision_) * 2)) return true;
+  }
+  if (whole) out_.configs.push_back({to, ConfigurationUpdate{revision_, 0, document_.text()}});
+  for (size_t i = first; i < patches_.size(); ++i) {
+    const PatchHistory::Patch& patch = patches_.at(i);
+    out_.configs.push_back({to, ConfigurationUpdate{patch.revision, patch.base, patch.body}});
+  }
+  return true;
+}
+
+const std::string& Disseminator::config_patch() const {
+  static const std::string none;
+  return patches_.last() ? patches_.last()->body : none;
+}
+
+void Disseminator::LogAdvanced() { log_.Advance(Held()); }
+
+void Disseminator::RejectConfiguration() {
+  document_rejected_ = true;
+  patches_.Clear();
+}
+
+void Disseminator::OnConfig(base::Millis now, const base::Address& from,
+                            const ConfigurationUpdate& update) {
+  // One that was rejected here may come once more.
+  if (update.revision < revision_ || update.revision <= Held().revision) return;
+  if (update.base != 0 && update.base != Held().revision) {
+    RequestMissing(now, from, PeerState{{update.revision, 0, 0}, {}, false});
+    return;
+  }
+  if (update.base != 0) {
+    // What a controller applied was checked there; it is checked no second time.
+    if (document_.empty() || !document_.Patch(update.body).empty()) {
+      RejectConfiguration();
+      RequestMissing(now, from, PeerState{{update.revision, 0, 0}, {}, false});
+      return;
+    }
+    patches_.Add({update.base, update.revision, update.body});
+  } else {
+    document_ = configuration::IndexedDocument(update.body);
+    patches_.Clear();
+  }
+  document_rejected_ = false;
+  revision_ = update.revision;
+  fetch_config_ = Fetch();
+  out_.config_adopted = true;
+  LogAdvanced();
+  Forward(now, Topic::kConfiguration, &from);
+}
+
+void Disseminator::Commit(base::Millis now, const configuration::Register& state) {
+  if (state.revision() <= revision_) return;
+  bool patch = state.base() != 0 && !state.patch().empty();
+  // Its own document follows the patch as a proxy's does: taking the other one's text would cost as
+  // much as the text is long.
+  bool follows = patch && state.base() == revision_ && !document_.empty() &&
+                 document_.Patch(state.patch()).empty();
+  if (!follows) {
+    document_ = state.document();
+    patches_.Clear();
+  }
+  revision_ = state.revision();
+  document_rejected_ = false;
+  if (patch) patches_.Add({state.base(), state.revision(), state.patch()});
+  fetch_config_ = Fetch();
+  out_.config_adopted = true;
+  LogAdvanced();
+  // Every controller applies the log by itself; one of a zone tells all of it.
+  if (!members_->FirstOfZone()) {
+    Forward(now, Topic::kConfiguration, nullptr);
+    return;
+  }
+  for (const ring::Node* node : ZonePeers()) {
+    if (node->program == ring::Program::kProxy) {
+      SendConfig(now, node->address(), config_base(), true);
+    }
+  }
+}
+
+void Disseminator::Commit(const evacuation::Orders& orders) {
+  if (orders.version() <= orders_.version()) return;
+  orders_ = orders;
+  out_.evacuation_adopted = true;
+  fetch_other_ = Fetch();
+  LogAdvanced();
+  for (const ring::Node* node : ZonePeers()) {
+    out_.evacuations.push_back({node->address(), {orders_}});
+  }
+}
+
+void Disseminator::OnEvacuation(base::Millis now, const base::Address& from,
+                                const ZoneDrainUpdate& update) {
+  if (update.orders.version() <= orders_.version()) return;
+  orders_ = update.orders;
+  out_.evacuation_adopted = true;
+  fetch_other_ = Fetch();
+  LogAdvanced();
+  Forward(now, Topic::kEvacuation, &from);
+}
+
+// Every controller tells its own zone; each of its nodes passes it on once.
+void Disseminator::Commit(const rollout::Rollouts& rollouts) {
+  if (rollouts.version() <= rollouts_.version()) return;
+  rollouts_ = rollouts;
+  out_.rollouts_adopted = true;
+  fetch_other_ = Fetch();
+  LogAdvanced();
+  for (const ring::Node* node : ZonePeers()) {
+    if (node->program == ring::Program::kProxy) {
+      out_.rollouts.push_back({node->address(), {rollouts_}});
+    }
+  }
+}
+
+void Disseminator::OnRollouts(base::Millis now, const base::Address& from,
+                              const RolloutUpdate& update) {
+  if (update.rollouts.version() <= rollouts_.version()) return;
+  rollouts_ = update.rollouts;
+  out_.rollouts_adopted = true;
+  fetch_other_ = Fetch();
+  LogAdvanced();
+  Forward(now, Topic::kRollouts, &from);
+}
+
+void Disseminator::OnRolloutVersion(base::Millis now, const base::Address& from, uint64_t version) {
+  if (version > rollouts_.version())
+    RequestMissing(now, from, PeerState{{0, 0, version}, {}, false});
+}
+
+}  // namespace elderkeel::dissemination
--- /dev/null
+++ b/src/dissemination/messages.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "catalog/catalog.h"
+#include "demand/demand.h"
+#include "evacuation/orders.h"
+#include "rollout/rollouts.h"
+
+namespace elderkeel::dissemination {
+
+// What a node has, in a few bytes; two nodes that compare them find every gap.
+struct Digest {
+  int64_t revision = 0;
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;
+  uint64_t evacuation = 0;
+  uint64_t rollouts = 0;
+  int32_t catalog_age_ms = -1;  // since the platform was last read for it; -1 for never
+  bool answer = false;          // the sender would like the receiver's digest
+  bool reliable = false;        // sent, and to be answered, over a connection
+  demand::Report demand;        // rides along; a proxy's alone
+  template <class A>
+  void serialize(A& a) {
+    a(revision, epoch, sequence, evacuation, rollouts, catalog_age_ms, answer, reliable, demand);
+  }
+};
+
+// Asks for what the receiver has beyond this.
+struct PullRequest {
+  int64_t revision = 0;
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;
+  uint64_t evacuation = 0;
+  uint64_t rollouts = 0;
+  bool exact = false;  // the sender holds the list just as (epoch, sequence) names it
+  template <class A>
+  void serialize(A& a) {
+    a(revision, epoch, sequence, evacuation, rollouts, exact);
+  }
+};
+
+// A committed configuration: whole, or the patch that leads to it from `base`.
+struct ConfigurationUpdate {
+  int64_t revision = 0;
+  int64_t base = 0;
+  std::string body;
+  template <class A>
+  void serialize(A& a) {
+    a(revision, base, body);
+  }
+};
+
+// The list whole, or what changed in it since (base_epoch, base_sequence).
+struct EndpointUpdate {
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;
+  bool whole = true;
+  bool exact = true;  // just as its holder read it, so that changes may be built upon it
+  uint64_t base_epoch = 0;
+  uint64_t base_sequence = 0;
+  int32_t age_ms = 0;
+  std::vector<catalog::Server> servers;  // all, or those that are new or changed
+  std::vector<std::string> gone;
+  template <class A>
+  void serialize(A& a) {
+    a(epoch, sequence, whole, exact, base_epoch, base_sequence, age_ms, servers, gone);
+  }
+};
+
+// Which zones are evacuated, by the log's order.
+struct ZoneDrainUpdate {
+  evacuation::Orders orders;
+  template <class A>
+  void serialize(A& a) {
+    a(orders);
+  }
+};
+
+// Which versions are in force and which roll-outs are under way, by the log's order.
+struct RolloutUpdate {
+  rollout::Rollouts rollouts;
+  template <class A>
+  void serialize(A& a) {
+    a(rollouts);
+  }
+};
+
+}  // namespace elderkeel::dissemination
--- a/src/dissemination/sync.h
+++ b/src/dissemination/sync.h
@@ -51,7 +51,10 @@
     base::Millis step = 120;
     base::Millis slowest = 1000;
   };
-  explicit SyncSchedule(Options options) : options_(options), step_(options.step) {}
+  // A node that starts at `now` is told of everything by its startup probes; it asks when that has
+  // had its time.
+  SyncSchedule(Options options, base::Millis now)
+      : options_(options), step_(options.step), next_at_(now + options.max_age) {}
 
   // `known_at`: the moment as of which state is known; -1 for never.
   bool Due(base::Millis now, base::Millis known_at) const {
@@ -74,7 +77,7 @@
 
   Options options_;
   base::Millis step_;
-  base::Millis next_at_ = 0;
+  base::Millis next_at_;
   size_t asked_ = 0;  // since state was last fresh
   std::optional<base::Address> preferred_;
 };
--- a/src/forwarding/front.cc
+++ b/src/forwarding/front.cc
@@ -257,6 +257,7 @@
   for (uint32_t service = 0; service < services_.size(); ++service) {
     std::vector<Servers::ZoneSlots> zones = servers_.SlotsByZone(service);
     std::vector<demand::Place> places;
+    places.reserve(zones.size());
     for (const auto& [zone, slots] : zones) {
       places.push_back({slots, demand_.Of(now, demand::Key(servers_.ZoneName(zone)),
                                           DemandKey(service), servers_.places())});
--- /dev/null
+++ b/tests/served_history_test.cc
@@ -0,0 +1,220 @@
+// What proxies serve by, over days of races, repeats, invalid changes and losses: it never goes
+// back, is never what was not committed, and is never older than the bound in calm.
+#include "served_history.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "simulation.h"
+
+namespace elderkeel::simulation {
+namespace {
+
+constexpr Millis kBoundMs = 1500;
+constexpr Millis kContactMs = 4000;
+
+TEST(ServedHistory, NamesWhatMustNotBe) {
+  struct Step {
+    Millis now;
+    int64_t committed;     // 0 for none
+    int64_t acknowledged;  // 0 for none
+    int64_t served;        // -1 for none
+    uint64_t digest;
+    uint64_t life;
+  };
+  struct Case {
+    const char* name;
+    std::vector<Step> steps;
+    const char* fault;
+  } cases[] = {
+      {"in order", {{0, 1, 1, 1, 11, 1}, {100, 2, 2, 1, 11, 1}, {1600, 0, 0, 2, 12, 1}}, ""},
+      {"back in another life",
+       {{0, 1, 0, 1, 11, 1}, {10, 2, 0, 2, 12, 1}, {20, 0, 0, 1, 11, 2}},
+       ""},
+      {"back",
+       {{0, 1, 0, 1, 11, 1}, {10, 2, 0, 2, 12, 1}, {20, 0, 0, 1, 11, 1}},
+       "n went back to 1"},
+      {"not committed", {{0, 1, 0, 3, 13, 1}}, "n serves by what was not committed, 3"},
+      {"other text",
+       {{0, 1, 0, 1, 12, 1}},
+       "n serves by another configuration than was committed as 1"},
+      {"too old",
+       {{0, 1, 1, 1, 11, 1}, {100, 2, 2, 1, 11, 1}, {1700, 0, 0, 1, 11, 1}},
+       "n is older than the bound allows, at 1"},
+      {"invalid", {{0, 7, 0, 7, 17, 1}}, "n serves by the invalid 7"},
+  };
+  for (const Case& c : cases) {
+    ServedHistory history(kBoundMs);
+    history.Invalid(7);
+    for (const Step& step : c.steps) {
+      if (step.committed) {
+        history.Committed(step.committed, static_cast<uint64_t>(step.committed) + 10);
+      }
+      if (step.acknowledged) history.Acknowledged(step.now, step.acknowledged);
+      if (step.served >= 0) {
+        history.Served(step.now, "n", step.life, step.served, step.digest, true);
+      }
+    }
+    EXPECT_EQ(history.fault(), c.fault) << c.name;
+  }
+}
+
+// A day: troubles of all kinds, then calm, again and again, while changes are sent.
+class Day {
+ public:
+  Day(uint64_t seed, int routes, Millis between_changes)
+      : world_(OptionsOf(seed, routes)),
+        history_(kBoundMs),
+        random_(seed * 31),
+        between_changes_(between_changes) {
+    world_.hooks.applied = [this](size_t i, const consensus::Entry&) {
+      const configuration::Register& state = world_.node(i).state.configuration;
+      if (!state.empty()) history_.Committed(state.revision(), base::Hash(state.text()));
+    };
+  }
+
+  std::string Play() {
+    Run(3000, false);
+    world_.Change();
+    Run(1000, false);
+    for (int round = 0; round < 4; ++round) {
+      for (int i = 0; i < 3; ++i) Trouble();
+      Run(3000 + static_cast<Millis>(random_.Below(4000)), false);
+      world_.HealAll();
+      Run(kContactMs, false);
+      Run(3000, true);
+    }
+    return history_.fault() + world_.fault;
+  }
+  int64_t acknowledged() const { return world_.acknowledged(); }
+
+ private:
+  static World::Options OptionsOf(uint64_t seed, int routes) {
+    World::Options options;
+    options.controllers = 4;
+    options.zones = 4;
+    options.proxies = 8;
+    options.routes = routes;
+    options.seed = seed;
+    options.tolerance.machines = 1;
+    return options;
+  }
+
+  void Trouble() {
+    size_t core = random_.Below(4), proxy = 4 + random_.Below(8), any = random_.Below(12);
+    switch (random_.Below(8)) {
+      case 0:
+        return world_.Isolate(any, true);
+      case 1:
+        return world_.Freeze(any, true);
+      case 2:
+        return world_.LosePower(core);
+      case 3:
+        return world_.Crash(proxy);
+      case 4:
+        // One lost disk a day: what is allowed at once, with the time to replace it.
+        if (!std::exchange(wiped_, true)) world_.Wipe(core);
+        return;
+      case 5:
+        for (size_t other = 0; other < 4; ++other) {
+          if (other != core) world_.CutOneWay(core, other, true);
+        }
+        return;
+      case 6:
+        return world_.LoseDatagrams(any, true);
+      default:
+        world_.node(core).disk_hangs_until = world_.now + 3000;
+    }
+  }
+
+  void Run(Millis span, bool bounded) {
+    for (Millis end = world_.now + span;
+         world_.now < end && history_.fault().empty() && world_.fault.empty();) {
+      if (world_.now >= change_at_) Change();
+      world_.Run(10);
+      if (world_.acknowledged() > 0) history_.Acknowledged(world_.now, world_.acknowledged());
+      for (size_t i = 4; i < world_.size(); ++i) Look(i, bounded);
+    }
+  }
+
+  void Look(size_t i, bool bounded) {
+    World::Node& node = world_.node(i);
+    if (!node.up || node.frozen) return;
+    int64_t revision = node.disseminator->revision();
+    auto& [life, seen, digest] = seen_[i];
+    if (life != node.life || seen != revision) {
+      life = node.life;
+      seen = revision;
+      digest = base::Hash(node.disseminator->config_text());
+    }
+    history_.Served(world_.now, node.address.ip, life, revision, digest, bounded);
+  }
+
+  // One more change; beside it at times a rival on the same version, a repeat, or an invalid one.
+  void Change() {
+    change_at_ = world_.now + between_changes_;
+    std::optional<configuration::Change> before = world_.last_change();
+    world_.Change();
+    size_t other = random_.Below(4);
+    switch (random_.Below(6)) {
+      case 0:
+        world_.ChangeAt(other);
+        return;
+      case 1:
+        if (before) world_.Submit(*before);
+        return;
+      case 2:
+        if (world_.last_change()) SubmitInvalid(*world_.last_change());
+        return;
+      default:
+        return;
+    }
+  }
+  void SubmitInvalid(const configuration::Change& change) {
+    configuration::Change invalid;
+    invalid.if_match = change.if_match;
+    int64_t revision = 1000000 + ++invalid_;
+    invalid.body =
+        R"({"revision":)" + std::to_string(revision) +
+        R"(,"route-list":[{"label":"x","host":"h","path-prefix":"/x/",)" +
+        R"("variant":"idempotent","timeout-ms":5,"target":"nobody"}],"service-list":[]})";
+    history_.Invalid(revision);
+    world_.Submit(invalid);
+  }
+
+  World world_;
+  ServedHistory history_;
+  base::Random random_;
+  Millis between_changes_;
+  Millis change_at_ = 4000;
+  bool wiped_ = false;
+  int64_t invalid_ = 0;
+  std::map<size_t, std::tuple<uint64_t, int64_t, uint64_t>> seen_;  // life, revision, digest
+};
+
+TEST(ServedHistory, HoldsOverDaysOfTrouble) {
+  struct Case {
+    const char* name;
+    int routes;
+    Millis between_changes;
+    uint64_t days;
+  } cases[] = {
+      {"small", 3, 350, 6},
+      {"larger than what is sent unasked", 120, 350, 3},
+      {"a change each 50 ms", 20, 50, 4},
+      {"whole documents", 0, 200, 4},
+  };
+  for (const Case& c : cases) {
+    int64_t changes = 0;
+    for (uint64_t seed = 1; seed <= c.days; ++seed) {
+      Day day(seed, c.routes, c.between_changes);
+      EXPECT_EQ(day.Play(), "") << c.name << ", seed " << seed;
+      changes += day.acknowledged();
+    }
+    EXPECT_GT(changes, 100) << c.name;
+  }
+}
+
+}  // namespace
+}  // namespace elderkeel::simulation
