--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -22,6 +22,8 @@
 
 namespace elderkeel::controller {
 
+struct JsonText;
+
 // The control plane's process: a member of the log, the operator's interface, and, when the log
 // says so, the one that watches the platform's list.
 class Controller : public configuration::Log {
@@ -89,7 +91,6 @@
   void Diagnose(wire::HttpServer::Ticket ticket, const base::Result<diagnosis::Question>& question);
   void FinishInquiries(base::Millis now);
   void Ask(wire::HttpServer::Ticket ticket, const diagnosis::Question& question);
-  struct JsonText;
   void WriteLog(JsonText* json) const;
   std::string StatusJson(const diagnosis::Inquiry& nodes) const;
   // What is known of the roll-outs, or of one service's; empty if that has none.
--- /dev/null
+++ b/src/controller/controller_rollouts.cc
@@ -0,0 +1,124 @@
+// The controller's part in roll-outs: orders, steps, votes of its watcher.
+#include "base/log.h"
+#include "controller/controller.h"
+
+namespace elderkeel::controller {
+namespace {
+constexpr base::Millis kVersionsEveryMs = 500;
+}  // namespace
+
+std::optional<uint64_t> Controller::Propose(const rollout::Order& order) {
+  rollout::Step step;
+  step.kind = rollout::Step::Kind::kOrder;
+  step.order = order;
+  step.watchers = rollout::NameWatchers(order.service, Watchers());
+  return replica_->Propose(MakeCommand(Command::Kind::kRollout, step));
+}
+
+// Controllers that have a part in the log watch, since they hear the leader.
+std::vector<rollout::Candidate> Controller::Watchers() const {
+  std::vector<rollout::Candidate> durable, all;
+  auto add = [&](const ring::Node& node) {
+    if (node.program != ring::Program::kController || node.state != ring::State::kAlive) return;
+    all.push_back({node.id, node.zone});
+    if (node.durable) durable.push_back(all.back());
+  };
+  for (const auto& [id, node] : peers_->members().nodes()) add(node);
+  return durable.empty() ? all : durable;
+}
+
+void Controller::AdoptRollouts(base::Millis now) {
+  conductor_.Adopt(now, state_.rollouts);
+  watcher_->Adopt(state_.rollouts);
+  for (const auto& [service, rollout] : state_.rollouts.rollouts()) {
+    std::string state =
+        std::string(rollout::StageName(rollout.stage)) + " " + rollout.order.version;
+    std::string& told = rollouts_told_[service];
+    if (told == state) continue;
+    told = state;
+    base::Info("rollout.stage", {{"service", service},
+                                 {"version", rollout.order.version},
+                                 {"from", rollout.from},
+                                 {"stage", rollout::StageName(rollout.stage)},
+                                 {"reason", rollout.reason},
+                                 {"elapsed_ms", rollout.elapsed_ms}});
+    Note("rollout." + std::string(rollout::StageName(rollout.stage)),
+         service + " " + rollout.order.version);
+  }
+  peers_->Commit(state_.rollouts);
+}
+
+void Controller::ReviewRollouts(base::Millis now) {
+  if (!settled() || !settings_.VersionsByOrder()) return;
+  std::vector<rollout::Step> steps;
+  if (state_.rollouts.Active()) steps = conductor_.Review(now, state_.rollouts, Watchers());
+  for (rollout::Step& step : steps) {
+    // Watchers know routes by their keys alone; who reads the reason knows them by their labels.
+    for (const std::string& label : state_.configuration.document().RouteLabels()) {
+      std::string key = "route " + std::to_string(rollout::RouteKey(label)) + ":";
+      size_t at = step.reason.find(key);
+      if (at != std::string::npos) step.reason.replace(at, key.size(), "route " + label + ":");
+    }
+    replica_->Propose(MakeCommand(Command::Kind::kRollout, step));
+  }
+  const catalog::Catalog& catalog = peers_->disseminator().catalog();
+  if (catalog.epoch == 0 || now < versions_at_) return;
+  versions_at_ = now + kVersionsEveryMs;
+  rollout::Step found;
+  found.found = rollout::FindVersions(state_.rollouts, catalog);
+  if (!found.found.empty()) replica_->Propose(MakeCommand(Command::Kind::kRollout, found));
+}
+
+void Controller::OnTally(const base::Address& from, const rollout::Tally& tally) {
+  base::Millis now = base::SteadyMillis();
+  if (!watcher_->OnTally(now, tally) || !tally.asks || !HearsLeader(now)) return;
+  peers_->mesh().SendDatagram(from, wire::Kind::kTouch,
+                              rollout::Touch{tally.number, state_.rollouts.version()});
+}
+
+void Controller::TellVotes(base::Millis now) {
+  std::vector<rollout::Watcher::InSight> proxies;
+  for (const auto& [id, node] : peers_->members().nodes()) {
+    if (node.program != ring::Program::kProxy || node.state == ring::State::kLeft) continue;
+    proxies.push_back({id, node.reachable()});
+  }
+  for (const rollout::Vote& vote : watcher_->Tick(now, proxies)) {
+    if (leading()) {
+      conductor_.OnVote(now, vote);
+    } else if (auto leader = replica_->machine().leader()) {
+      peers_->mesh().Send(leader->address(), wire::Kind::kVote, vote);
+    }
+  }
+}
+
+// The leader has the votes; another controller sends on to it, or without one tells what its own
+// log has.
+void Controller::AnswerRollouts(wire::HttpServer::Ticket ticket, const wire::Message& request) {
+  if (request.method != "GET") {
+    control_->Answer(ticket, wire::OwnAnswer(405, "GET only"));
+    return;
+  }
+  if (Idle() || !replica_->store_reason().empty()) return SendOn(ticket, request.target);
+  auto leader = replica_->started() ? leader_control() : std::nullopt;
+  if (!leading() && leader) {
+    wire::Message answer = wire::OwnAnswer(307, "the leader is elsewhere");
+    answer.headers.push_back({"Location", "http://" + *leader + request.target});
+    control_->Answer(ticket, answer);
+    return;
+  }
+  size_t query = request.target.find("?service=");
+  wire::Message answer;
+  answer.status = 200;
+  answer.headers.push_back({"Content-Type", "application/json"});
+  answer.body = RolloutsJson(
+      query == std::string::npos ? "" : std::string_view(request.target).substr(query + 9));
+  if (answer.body.empty() && leading() && HearsLeader(base::SteadyMillis())) {
+    answer = wire::OwnAnswer(404, "no roll-out of this service was ordered");
+  } else if (answer.body.empty()) {
+    answer = wire::OwnAnswer(503, "no leader is known, and here none was ordered");
+    answer.headers.push_back({"Retry-After", "0.3"});
+  }
+  control_->Answer(ticket, answer);
+}
+
+}  // namespace elderkeel::controller
--- a/tests/cut_test.cc
+++ b/tests/cut_test.cc
@@ -280,7 +280,7 @@
 
 // What a former holder of the list says, also to a receiver that has just started, gives way to
 // its successor's word, and never comes back.
-TEST(Exchange, TheWordOfAFormerHolderEndsWithTheFirstOfItsSuccessor) {
+TEST(Disseminator, TheWordOfAFormerHolderEndsWithTheFirstOfItsSuccessor) {
   ring::Membership members({}, {}, 0);
   auto list = [](uint64_t epoch, uint64_t sequence) {
     dissemination::EndpointUpdate news;
--- a/tests/simulation_test.cc
+++ b/tests/simulation_test.cc
@@ -303,7 +303,7 @@
   Settle(&world, 4000, "after the cut");
 }
 
-TEST(Exchange, TakesOnlyWhatIsNewer) {
+TEST(Disseminator, TakesOnlyWhatIsNewer) {
   ring::Membership members({}, {}, 0);
   dissemination::Disseminator exchange({}, &members, 0);
   auto list = [](uint64_t epoch, uint64_t sequence) {
