--- a/src/dissemination/disseminator.cc
+++ b/src/dissemination/disseminator.cc
@@ -123,11 +123,15 @@
          (peer.has_catalog && !has_catalog());
 }
 
-// Bytes between zones are dear, and what is large comes to a zone once: a controller of the own
-// zone that lacks it too is given a moment to get it.
-bool Disseminator::MayAsk(base::Millis now, const base::Address& from) {
+// Bytes between zones are dear, and what is large comes to a zone once: the own zone, if a
+// controller is there, is given a moment to get it and the time to hand it on.
+bool Disseminator::MayAsk(base::Millis now, const base::Address& from, const SyncReply& reply) {
   if (lacking_since_ < 0) lacking_since_ = now;
-  if (!InOtherZone(from) || now - lacking_since_ >= kNearFirst) return true;
+  size_t bytes = 0;
+  if (reply.versions.revision > Held().revision) bytes += reply.document_bytes;
+  if (HeldEndpoints().Lacks(reply.endpoints) || !has_catalog()) bytes += reply.endpoints_bytes;
+  base::Millis patience = kNearFirst + static_cast<base::Millis>(bytes / kSlowestLink);
+  if (!InOtherZone(from) || now - lacking_since_ >= patience) return true;
   std::vector<const ring::Node*> near = ZonePeers();
   return std::none_of(near.begin(), near.end(), [](const ring::Node* node) {
     return node->program == ring::Program::kController && node->reachable();
@@ -218,6 +222,7 @@
   reply.endpoints = HeldEndpoints();
   reply.endpoints_age_ms = Narrow(endpoints_.age(now));
   reply.platform_age_ms = Narrow(catalog_age(now));
+  reply.endpoints_bytes = static_cast<uint32_t>(catalog_.servers.size() * kServerBytes);
   reply.document_bytes =
       static_cast<uint32_t>(std::min<size_t>(document_.SizeAtMost(), UINT32_MAX));
   out_.sync_replies.push_back({from, reply, sent || request.reliable});
@@ -230,7 +235,7 @@
   PeerState peer{reply.versions, reply.endpoints, reply.platform_age_ms >= 0};
   if (!Lacks(peer)) {
     lacking_since_ = -1;
-  } else if (MayAsk(now, from)) {
+  } else if (MayAsk(now, from, reply)) {
     RequestMissing(now, from, peer);
   }
   if (reply.asked_at > now || now - reply.asked_at > kReplyPatience) return;
--- a/src/dissemination/disseminator.h
+++ b/src/dissemination/disseminator.h
@@ -174,7 +174,7 @@
   void RequestMissing(base::Millis now, const base::Address& from, const PeerState& peer);
   bool MayFetch(base::Millis now, Fetch* fetch, size_t bytes);
   // Whether `from` may be asked for what it has beyond this node and did not send unasked.
-  bool MayAsk(base::Millis now, const base::Address& from);
+  bool MayAsk(base::Millis now, const base::Address& from, const SyncReply& reply);
   void Replace(catalog::Catalog catalog, bool exact);
   // What the log decides is newer here than before.
   void LogAdvanced();
--- a/src/dissemination/sync.h
+++ b/src/dissemination/sync.h
@@ -31,10 +31,12 @@
   EndpointVersion endpoints;
   int32_t endpoints_age_ms = -1;  // the same of `endpoints`
   int32_t platform_age_ms = -1;   // since the platform was last read for the list; -1 for never
+  uint32_t endpoints_bytes = 0;   // of the whole list, about
   uint32_t document_bytes = 0;    // of the whole configuration
   template <class A>
   void serialize(A& a) {
-    a(asked_at, versions, age_ms, endpoints, endpoints_age_ms, platform_age_ms, document_bytes);
+    a(asked_at, versions, age_ms, endpoints, endpoints_age_ms, platform_age_ms, endpoints_bytes,
+      document_bytes);
   }
 };
 
