Dissemination: one test for a missing list, one for its age; unused call removed

What a peer's list has beyond this node was asked in three places, when it was read in two, the time of a transfer and the size of the list in two and three; SyncSchedule::Distrust was called by nobody; guards stood before RequestMissing, which looks for itself.

--- a/src/dissemination/disseminator.cc
+++ b/src/dissemination/disseminator.cc
@@ -23,6 +23,8 @@
   return schedule;
 }
 
+base::Millis TransferTime(size_t bytes) { return static_cast<base::Millis>(bytes / kSlowestLink); }
+
 int32_t Narrow(base::Millis age) {
   return static_cast<int32_t>(std::min<base::Millis>(age, INT32_MAX));
 }
@@ -118,19 +120,31 @@
   }
 }
 
+bool Disseminator::LacksEndpoints(const PeerState& peer) const {
+  return HeldEndpoints().Lacks(peer.endpoints) || (peer.has_catalog && !has_catalog());
+}
+
 bool Disseminator::Lacks(const PeerState& peer) const {
-  return !Held().Covers(peer.versions) || HeldEndpoints().Lacks(peer.endpoints) ||
-         (peer.has_catalog && !has_catalog());
+  return !Held().Covers(peer.versions) || LacksEndpoints(peer);
+}
+
+size_t Disseminator::EndpointsBytes() const { return catalog_.servers.size() * kServerBytes; }
+
+// Whoever has this very list knows when the platform was last read for it.
+void Disseminator::NoteReadAt(const EndpointVersion& endpoints, base::Millis read_at) {
+  bool same = endpoints.epoch == catalog_.epoch && endpoints.sequence == catalog_.sequence;
+  if (same && has_catalog()) read_at_ = std::max(read_at_, read_at);
 }
 
 // Bytes between zones are dear, and what is large comes to a zone once: the own zone, if a
 // controller is there, is given a moment to get it and the time to hand it on.
-bool Disseminator::MayAsk(base::Millis now, const base::Address& from, const SyncReply& reply) {
+bool Disseminator::MayAsk(base::Millis now, const base::Address& from, const SyncReply& reply,
+                          const PeerState& peer) {
   if (lacking_since_ < 0) lacking_since_ = now;
   size_t bytes = 0;
   if (reply.versions.revision > Held().revision) bytes += reply.document_bytes;
-  if (HeldEndpoints().Lacks(reply.endpoints) || !has_catalog()) bytes += reply.endpoints_bytes;
-  base::Millis patience = kNearFirst + static_cast<base::Millis>(bytes / kSlowestLink);
+  if (LacksEndpoints(peer)) bytes += reply.endpoints_bytes;
+  base::Millis patience = kNearFirst + TransferTime(bytes);
   if (!InOtherZone(from) || now - lacking_since_ >= patience) return true;
   std::vector<const ring::Node*> near = ZonePeers();
   return std::none_of(near.begin(), near.end(), [](const ring::Node* node) {
@@ -140,8 +154,8 @@
 
 bool Disseminator::MayFetch(base::Millis now, Fetch* fetch, size_t bytes) {
   if (now < fetch->again_at) return false;
-  base::Millis transfer = static_cast<base::Millis>(bytes / kSlowestLink);
-  fetch->gap = std::min(std::max({fetch->gap * 2, kFetchGap, transfer}), kLongestFetchGap);
+  fetch->gap =
+      std::min(std::max({fetch->gap * 2, kFetchGap, TransferTime(bytes)}), kLongestFetchGap);
   fetch->again_at = now + fetch->gap;
   return true;
 }
@@ -151,10 +165,7 @@
   Versions held = Held();
   size_t document = std::max(document_bytes_, document_.SizeAtMost());
   bool config = peer.versions.revision > held.revision && MayFetch(now, &fetch_config_, document);
-  bool lacks_catalog =
-      HeldEndpoints().Lacks(peer.endpoints) || (peer.has_catalog && !has_catalog());
-  bool catalog =
-      lacks_catalog && MayFetch(now, &fetch_catalog_, catalog_.servers.size() * kServerBytes);
+  bool catalog = LacksEndpoints(peer) && MayFetch(now, &fetch_catalog_, EndpointsBytes());
   bool lacks_other =
       peer.versions.evacuation > held.evacuation || peer.versions.rollouts > held.rollouts;
   bool other = lacks_other && MayFetch(now, &fetch_other_, 0);
@@ -189,16 +200,14 @@
 }
 
 void Disseminator::OnDigest(base::Millis now, const base::Address& from, const Digest& digest) {
-  if (digest.epoch == catalog_.epoch && digest.sequence == catalog_.sequence && has_catalog() &&
-      digest.catalog_age_ms >= 0) {
-    read_at_ = std::max(read_at_, now - digest.catalog_age_ms);
+  if (digest.catalog_age_ms >= 0) {
+    NoteReadAt({digest.epoch, digest.sequence}, now - digest.catalog_age_ms);
   }
   PeerState peer{{digest.revision, digest.evacuation, digest.rollouts},
                  {digest.epoch, digest.sequence},
                  digest.catalog_age_ms >= 0};
-  bool lacks = Lacks(peer);
   bool sent_all = SendMissing(now, from, peer, true);
-  if (lacks) RequestMissing(now, from, peer);
+  RequestMissing(now, from, peer);
   // What is too large to be sent unasked is asked for by a peer that sees this node's digest.
   if (digest.answer || !sent_all) {
     Digest own = OwnDigest(now);
@@ -210,11 +219,9 @@
 void Disseminator::OnSyncRequest(base::Millis now, const base::Address& from,
                                  const SyncRequest& request) {
   PeerState peer{request.versions, request.endpoints, request.endpoints.epoch > 0};
-  size_t queued =
-      out_.configs.size() + out_.catalogs.size() + out_.evacuations.size() + out_.rollouts.size();
+  size_t queued = out_.updates();
   SendMissing(now, from, peer, request.exact);
-  bool sent = queued != out_.configs.size() + out_.catalogs.size() + out_.evacuations.size() +
-                            out_.rollouts.size();
+  bool sent = out_.updates() != queued;
   SyncReply reply;
   reply.asked_at = request.asked_at;
   reply.versions = Held();
@@ -222,11 +229,11 @@
   reply.endpoints = HeldEndpoints();
   reply.endpoints_age_ms = Narrow(endpoints_.age(now));
   reply.platform_age_ms = Narrow(catalog_age(now));
-  reply.endpoints_bytes = static_cast<uint32_t>(catalog_.servers.size() * kServerBytes);
+  reply.endpoints_bytes = static_cast<uint32_t>(EndpointsBytes());
   reply.document_bytes =
       static_cast<uint32_t>(std::min<size_t>(document_.SizeAtMost(), UINT32_MAX));
   out_.sync_replies.push_back({from, reply, sent || request.reliable});
-  if (Lacks(peer)) RequestMissing(now, from, peer);
+  RequestMissing(now, from, peer);
 }
 
 void Disseminator::OnSyncReply(base::Millis now, const base::Address& from,
@@ -235,7 +242,7 @@
   PeerState peer{reply.versions, reply.endpoints, reply.platform_age_ms >= 0};
   if (!Lacks(peer)) {
     lacking_since_ = -1;
-  } else if (MayAsk(now, from, reply)) {
+  } else if (MayAsk(now, from, reply, peer)) {
     RequestMissing(now, from, peer);
   }
   if (reply.asked_at > now || now - reply.asked_at > kReplyPatience) return;
@@ -248,10 +255,8 @@
     endpoints_.Claim(reply.asked_at - reply.endpoints_age_ms, reply.endpoints, HeldEndpoints());
     endpoints_schedule_.Answered(now, from, KnownAt(endpoints_));
   }
-  bool same = reply.endpoints.epoch == catalog_.epoch &&
-              reply.endpoints.sequence == catalog_.sequence && has_catalog();
-  if (same && reply.platform_age_ms >= 0) {
-    read_at_ = std::max(read_at_, reply.asked_at - reply.platform_age_ms);
+  if (reply.platform_age_ms >= 0) {
+    NoteReadAt(reply.endpoints, reply.asked_at - reply.platform_age_ms);
   }
 }
 
--- a/src/dissemination/disseminator.h
+++ b/src/dissemination/disseminator.h
@@ -66,10 +66,14 @@
     bool catalog_adopted = false;
     bool evacuation_adopted = false;
     bool rollouts_adopted = false;
+    // Messages that carry state.
+    size_t updates() const {
+      return configs.size() + catalogs.size() + evacuations.size() + rollouts.size();
+    }
     bool empty() const {
       return digests.empty() && pulls.empty() && sync_requests.empty() && sync_replies.empty() &&
-             configs.empty() && catalogs.empty() && evacuations.empty() && rollouts.empty() &&
-             !config_adopted && !catalog_adopted && !evacuation_adopted && !rollouts_adopted;
+             updates() == 0 && !config_adopted && !catalog_adopted && !evacuation_adopted &&
+             !rollouts_adopted;
     }
   };
 
@@ -82,7 +86,7 @@
   void OnPull(base::Millis now, const base::Address& from, const PullRequest& pull);
   void OnSyncRequest(base::Millis now, const base::Address& from, const SyncRequest& request);
   void OnSyncReply(base::Millis now, const base::Address& from, const SyncReply& reply);
-  // A message of this kind of state could not be sent there: it may be sent again.
+  // Something that was to go there could not be sent: it may be sent again at once.
   void OnSendFailed(const base::Address& to) { sent_.erase(to); }
   void OnConfig(base::Millis now, const base::Address& from, const ConfigurationUpdate& update);
   void OnCatalog(base::Millis now, const base::Address& from, const EndpointUpdate& update);
@@ -162,6 +166,10 @@
   Versions Held() const;
   EndpointVersion HeldEndpoints() const { return {catalog_.epoch, catalog_.sequence}; }
   bool Lacks(const PeerState& peer) const;
+  bool LacksEndpoints(const PeerState& peer) const;
+  // Of the whole list in an update, about.
+  size_t EndpointsBytes() const;
+  void NoteReadAt(const EndpointVersion& endpoints, base::Millis read_at);
 
   // False where it is too large to be sent unasked. What was just sent there is not sent again.
   bool SendConfig(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
@@ -174,10 +182,11 @@
   void RequestMissing(base::Millis now, const base::Address& from, const PeerState& peer);
   bool MayFetch(base::Millis now, Fetch* fetch, size_t bytes);
   // Whether `from` may be asked for what it has beyond this node and did not send unasked.
-  bool MayAsk(base::Millis now, const base::Address& from, const SyncReply& reply);
+  bool MayAsk(base::Millis now, const base::Address& from, const SyncReply& reply,
+              const PeerState& peer);
   void Replace(catalog::Catalog catalog, bool exact);
-  // What the log decides is newer here than before.
-  void LogAdvanced();
+  // What the log decides is newer here than before, by what `fetch` may have asked for.
+  void LogAdvanced(Fetch* fetch);
   // Whom to tell at once of something new.
   std::vector<const ring::Node*> ForwardTargets(bool origin, size_t near_count);
   // `from`: who told this node; none if the update originates here.
--- a/src/dissemination/disseminator_log.cc
+++ b/src/dissemination/disseminator_log.cc
@@ -30,7 +30,10 @@
   return patches_.last() ? patches_.last()->body : none;
 }
 
-void Disseminator::LogAdvanced() { log_.Advance(Held()); }
+void Disseminator::LogAdvanced(Fetch* fetch) {
+  *fetch = Fetch();
+  log_.Advance(Held());
+}
 
 void Disseminator::RejectConfiguration() {
   document_rejected_ = true;
@@ -59,9 +62,8 @@
   }
   document_rejected_ = false;
   revision_ = update.revision;
-  fetch_config_ = Fetch();
   out_.config_adopted = true;
-  LogAdvanced();
+  LogAdvanced(&fetch_config_);
   Forward(now, Topic::kConfiguration, &from);
 }
 
@@ -79,9 +81,8 @@
   revision_ = state.revision();
   document_rejected_ = false;
   if (patch) patches_.Add({state.base(), state.revision(), state.patch()});
-  fetch_config_ = Fetch();
   out_.config_adopted = true;
-  LogAdvanced();
+  LogAdvanced(&fetch_config_);
   // Every controller applies the log by itself; one of a zone tells all of it.
   if (!members_->FirstOfZone()) {
     Forward(now, Topic::kConfiguration, nullptr);
@@ -98,8 +99,7 @@
   if (orders.version() <= orders_.version()) return;
   orders_ = orders;
   out_.evacuation_adopted = true;
-  fetch_other_ = Fetch();
-  LogAdvanced();
+  LogAdvanced(&fetch_other_);
   for (const ring::Node* node : ZonePeers()) {
     out_.evacuations.push_back({node->address(), {orders_}});
   }
@@ -110,8 +110,7 @@
   if (update.orders.version() <= orders_.version()) return;
   orders_ = update.orders;
   out_.evacuation_adopted = true;
-  fetch_other_ = Fetch();
-  LogAdvanced();
+  LogAdvanced(&fetch_other_);
   Forward(now, Topic::kEvacuation, &from);
 }
 
@@ -120,8 +119,7 @@
   if (rollouts.version() <= rollouts_.version()) return;
   rollouts_ = rollouts;
   out_.rollouts_adopted = true;
-  fetch_other_ = Fetch();
-  LogAdvanced();
+  LogAdvanced(&fetch_other_);
   for (const ring::Node* node : ZonePeers()) {
     if (node->program == ring::Program::kProxy) {
       out_.rollouts.push_back({node->address(), {rollouts_}});
@@ -134,8 +132,7 @@
   if (update.rollouts.version() <= rollouts_.version()) return;
   rollouts_ = update.rollouts;
   out_.rollouts_adopted = true;
-  fetch_other_ = Fetch();
-  LogAdvanced();
+  LogAdvanced(&fetch_other_);
   Forward(now, Topic::kRollouts, &from);
 }
 
--- a/src/dissemination/sync.cc
+++ b/src/dissemination/sync.cc
@@ -45,8 +45,4 @@
   next_at_ = now + step_;
 }
 
-void SyncSchedule::Distrust(const base::Address& from) {
-  if (preferred_ == from) preferred_.reset();
-}
-
 }  // namespace elderkeel::dissemination
--- a/src/dissemination/sync.h
+++ b/src/dissemination/sync.h
@@ -67,8 +67,6 @@
   std::vector<base::Address> Next(base::Millis now, std::vector<base::Address> sources);
   // `from` answered, and state is known as of `known_at` now.
   void Answered(base::Millis now, const base::Address& from, base::Millis known_at);
-  // What `from` said it had has not come from there.
-  void Distrust(const base::Address& from);
   // Whether the peers asked last were not the first to be asked.
   bool retrying() const { return asked_ > 1; }
 
