--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -293,8 +293,8 @@
                                const std::string& host, const std::string& headers,
                                const std::string& body) {
   return method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n" + headers +
-         (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-         "\r\n" + body;
+         (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" +
+         body;
 }
 
 inline std::string NewId() {
@@ -496,16 +496,17 @@
     return 0;
   }
   int PutConfiguration(int64_t if_match, const std::string& body, Millis for_ms) {
-    int status = Order("PUT", "/elderkeel/config",
-                       "If-Match: " + std::to_string(if_match) +
-                           "\r\nContent-Type: application/json\r\n",
-                       body, for_ms);
+    int status =
+        Order("PUT", "/elderkeel/config",
+              "If-Match: " + std::to_string(if_match) + "\r\nContent-Type: application/json\r\n",
+              body, for_ms);
     record.Line("operator: PUT on version %lld: %d", static_cast<long long>(if_match), status);
     return status;
   }
   bool IsReady(int i) {
-    Message m = Call(Ip(i), readiness(),
-                     MakeRequest("GET", "/elderkeel/ready", Ip(i), "Connection: close\r\n", ""), 900);
+    Message m =
+        Call(Ip(i), readiness(),
+             MakeRequest("GET", "/elderkeel/ready", Ip(i), "Connection: close\r\n", ""), 900);
     return m.whole && m.status == 200;
   }
   bool WaitReady(Millis for_ms) {
--- a/review/harness/term_cut.cc
+++ b/review/harness/term_cut.cc
@@ -40,8 +40,8 @@
       }
       run.ended = Now();
       record.Line("server %s %s %s after %lld ms", id.c_str(),
-                  run.dropped ? "drops (its connection was closed)" : "ends",
-                  attempt.c_str(), static_cast<long long>(run.ended - run.began));
+                  run.dropped ? "drops (its connection was closed)" : "ends", attempt.c_str(),
+                  static_cast<long long>(run.ended - run.began));
       {
         std::lock_guard<std::mutex> lock(mutex);
         runs[attempt] = run;
@@ -119,8 +119,8 @@
       bool passed_on = run != runs.end();
       // Not counted: refused unrun, the deadline or the timeout reached, the server at work in the
       // last sixth of grace.
-      bool excused = answered - sent >= 3990 ||
-                     (passed_on && run->second.ended >= term + kGrace * 5 / 6);
+      bool excused =
+          answered - sent >= 3990 || (passed_on && run->second.ended >= term + kGrace * 5 / 6);
       if (passed_on && !excused) {
         ++lost;
       } else {
