--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -310,6 +310,7 @@
 struct ServerEntry {
   std::string id, target, address, zone = "z1", revision = "v1", status = "accepting";
   int capacity = 4;
+  Millis warm_at = 0;
 };
 
 class Fleet {
@@ -319,6 +320,7 @@
   std::string net;     // "127.A.B."
   int port = 0;
   std::string extra;  // lines for every settings file
+  std::function<int(int)> zone_of = [](int i) { return i % 3 + 1; };  // of a machine
 
   std::string Ip(int i) const { return net + std::to_string(i + 1); }
   int control() const { return port; }
@@ -354,7 +356,7 @@
     FILE* f = fopen(SettingsPath(name).c_str(), "w");
     if (!f) GiveUp("can't write settings");
     fprintf(f, "node-name=%s\nmachine-class=edge\nip=%s\nzone=z%d\nregion=r1\n", name.c_str(),
-            Ip(i).c_str(), i % 3 + 1);
+            Ip(i).c_str(), zone_of(i));
     fprintf(f, "zones.z1=r1\nzones.z2=r1\nzones.z3=r1\nport-range=%d,%d\n", port + 4, port + 15);
     fprintf(f, "seed-list=");
     for (int k = 0; k < std::min(controllers, 3); ++k) {
@@ -451,7 +453,8 @@
         body += std::string(first ? "" : ",") + "{\"target\":\"" + s.target + "\",\"address\":\"" +
                 s.address + "\",\"zone\":\"" + s.zone + "\",\"revision\":\"" + s.revision +
                 "\",\"capacity\":" + std::to_string(s.capacity) + ",\"status\":\"" + s.status +
-                "\",\"warmup-left-ms\":0,\"id\":\"" + s.id + "\"}";
+                "\",\"warmup-left-ms\":" + std::to_string(std::max<Millis>(0, s.warm_at - Now())) +
+                ",\"id\":\"" + s.id + "\"}";
         first = false;
       }
       body += "],\"next-token\":null}";
