--- a/review/harness/cold_owners.cc
+++ b/review/harness/cold_owners.cc
@@ -1,7 +1,6 @@
-// The servers of a zone come back together, cold; the eight proxies of the zone get SIGTERM
-// together, as in a restart of several machines at a time, and serve on for some seconds. Rule
-// FAILBACK: all machines together send a cold server at most warmup-per-s x warmup-excess +
-// warmup-slack in a second.
+// The servers of a zone come back together, cold, and the four proxies of the zone are restarted at
+// once. Each serves on for some seconds after its SIGTERM. Rule FAILBACK: all machines together
+// send a cold server at most warmup-per-s x warmup-excess + warmup-slack in a second.
 #include <algorithm>
 
 #include "fleet.h"
@@ -11,7 +10,7 @@
 namespace {
 constexpr double kPerS = 6, kExcess = 1.5, kSlack = 8;
 constexpr Millis kColdMs = 3000, kDownMs = 2000;
-constexpr int kInZone = 8, kElsewhere = 7, kClients = 9, kServers = 6;
+constexpr int kInZone = 4, kElsewhere = 5, kClients = 60, kServers = 12;
 
 struct Arrival {
   Millis sent;  // by the client
@@ -23,6 +22,33 @@
 std::string ids[kServers];                             // empty while it is down
 std::atomic<Millis> cold_from{0};
 
+// The platform's view of the zone's proxies: asked each second, out after two misses, in again with
+// a 200; if fewer than half are in, it uses all of them.
+std::atomic<bool> in[kInZone];
+std::atomic<bool> stop{false};
+
+void AskReadiness(int proxy) {
+  SleepMs(proxy * 1000 / kInZone);
+  for (int misses = 0; !stop; SleepMs(1000)) {
+    misses = fleet.IsReady(fleet.ProxyAt(proxy)) ? 0 : misses + 1;
+    if (misses == 0) in[proxy] = true;
+    if (misses >= 2) in[proxy] = false;
+  }
+}
+
+int ChooseProxy() {
+  std::vector<int> chosen;
+  for (int k = 0; k < kInZone; ++k) {
+    if (in[k]) chosen.push_back(k);
+  }
+  if (chosen.size() * 2 < kInZone) {
+    chosen.clear();
+    for (int k = 0; k < kInZone; ++k) chosen.push_back(k);
+  }
+  static std::atomic<unsigned> draw{1};
+  return chosen[(draw++ * 2654435761u >> 8) % chosen.size()];
+}
+
 std::string Serve(int slot, const Message& m) {
   std::string id;
   Millis now = Now(), cold = cold_from;
@@ -88,19 +114,20 @@
   if (!fleet.WaitReady(30000)) GiveUp("proxies are not ready");
   SleepMs(5000);
 
-  // Each proxy of the zone has some clients that ask one request after the other.
-  std::atomic<bool> stop{false};
+  // Clients of the zone, one request after the other, each on a connection of its own.
+  std::vector<std::thread> threads;
+  for (int k = 0; k < kInZone; ++k) threads.emplace_back(AskReadiness, k);
+  SleepMs(1500);
   std::atomic<int> served{0}, refused{0}, other{0};
-  std::vector<std::thread> clients;
-  for (int k = 0; k < kInZone * kClients; ++k) {
-    clients.emplace_back([&, k] {
-      int proxy = k % kInZone;
-      std::string name = "p" + std::to_string(proxy + 1);
+  for (int k = 0; k < kClients; ++k) {
+    threads.emplace_back([&] {
       while (!stop) {
+        int proxy = ChooseProxy();
         Message m = Call(fleet.Ip(fleet.ProxyAt(proxy)), fleet.front(),
                          MakeRequest("GET", "/dir/1", "a.example",
                                      "Elderkeel-Attempt-Id: " + NewId() +
-                                         "\r\nElderkeel-Remaining-Ms: 2000\r\nX-Proxy: " + name +
+                                         "\r\nElderkeel-Remaining-Ms: 2000\r\nX-Proxy: p" +
+                                         std::to_string(proxy + 1) +
                                          "\r\nX-Sent: " + std::to_string(Now()) + "\r\n",
                                      ""),
                          2500);
@@ -108,7 +135,7 @@
           ++served;
         } else if (m.whole && m.status == 503) {
           ++refused;
-          SleepMs(100);
+          SleepMs(100);  // its Retry-After
         } else {
           ++other;
           SleepMs(300);
@@ -134,14 +161,14 @@
   }
   fleet.SetServers(list);
   record.Line("they are back, and cold for %lld ms", static_cast<long long>(kColdMs));
-  SleepMs(1000);
-  if (trouble) {
-    record.Line("SIGTERM to the %d proxies of the zone", kInZone);
-    for (int k = 1; k <= kInZone; ++k) fleet.Signal("p" + std::to_string(k), SIGTERM);
+  SleepMs(200);
+  for (int k = 0; trouble && k < kInZone; ++k) {
+    record.Line("SIGTERM to p%d", k + 1);
+    fleet.Signal("p" + std::to_string(k + 1), SIGTERM);
   }
   SleepUntil(cold_from + kColdMs + 300);
   stop = true;
-  for (std::thread& t : clients) t.join();
+  for (std::thread& t : threads) t.join();
 
   // At each server, the second with the most requests that were sent and arrived inside it.
   std::lock_guard<std::mutex> lock(mutex);
--- a/review/harness/stale_list.cc
+++ b/review/harness/stale_list.cc
@@ -1,7 +1,8 @@
 // The control machines can't reach the platform for some seconds; a proxy that hears nothing of the
-// list reads the platform itself, by a path on which answers take 0.95 s. While such an answer is
-// on its way the cut heals, and a server begins to drain. Rule DRAIN: the proxy sends nothing there
-// later than drain-ms after the list shows it, the time of the trouble and contact-ms left out.
+// list reads the platform itself, by a path on which each page takes 0.95 s. While these answers
+// are on their way the cut heals, and a server begins to drain. Rule DRAIN: the proxy sends nothing
+// there later than drain-ms after the list shows it, the time of the trouble and contact-ms left
+// out.
 #include "fleet.h"
 
 using namespace review;
@@ -19,18 +20,22 @@
 std::atomic<int> late{0}, at_leaver{0};
 std::vector<int> leaver_connections;
 
-std::string ListBody() {
+constexpr size_t kPage = 50;  // servers on a page of the list, as in the site files
+
+// The list as it stands, from an index on; a page at a time.
+std::string ListBody(size_t from) {
   std::string body = "{\"servers\":[";
-  bool first = true;
   std::lock_guard<std::mutex> lock(mutex);
-  for (const ServerEntry& s : list) {
-    body += std::string(first ? "" : ",") + "{\"target\":\"" + s.target + "\",\"address\":\"" +
+  size_t end = std::min(from + kPage, list.size());
+  for (size_t i = from; i < end; ++i) {
+    const ServerEntry& s = list[i];
+    body += std::string(i == from ? "" : ",") + "{\"target\":\"" + s.target + "\",\"address\":\"" +
             s.address + "\",\"zone\":\"" + s.zone +
             "\",\"revision\":\"v1\",\"capacity\":" + std::to_string(s.capacity) + ",\"status\":\"" +
             s.status + "\",\"warmup-left-ms\":0,\"id\":\"" + s.id + "\"}";
-    first = false;
   }
-  return body + "],\"next-token\":null}";
+  std::string next = end < list.size() ? "\"p-" + std::to_string(end) + "\"" : "null";
+  return body + "],\"next-token\":" + next + "}";
 }
 
 void BeginDrain() {
@@ -80,12 +85,23 @@
     e.capacity = 12;
     list.push_back(e);
   }
+  // Servers of a service that no route leads to yet: nothing is sent there.
+  for (int k = 0; k < 57; ++k) {
+    ServerEntry e;
+    e.id = "j-" + std::to_string(k + 100);
+    e.target = "directory";
+    e.address = fleet.server_ip(50) + ":" + std::to_string(fleet.port + 100 + k);
+    list.push_back(e);
+  }
   // Two paths to one platform: that of the control machines and of p2, which may be cut (it
   // refuses), and that of p1, on which answers may be slow. An answer is the list as of the call.
   HttpStandIn core_path, slow_path;
   auto answer = [](const Message& m) {
     if (m.Path() != "/servers") return MakeAnswer(404, "", "");
-    return MakeAnswer(200, "Content-Type: application/json\r\n", ListBody());
+    size_t token = m.target.find("page-token=p-");
+    size_t from =
+        token == std::string::npos ? 0 : strtoul(m.target.c_str() + token + 13, nullptr, 10);
+    return MakeAnswer(200, "Content-Type: application/json\r\n", ListBody(from));
   };
   core_path.Start(fleet.platform_ip(), fleet.port, [&](int, const Message& m) {
     if (cut) return std::string();
@@ -94,19 +110,24 @@
   slow_path.Start(fleet.net + "201", fleet.port, [&](int, const Message& m) {
     std::string bytes = answer(m);
     if (slow) {
-      record.Line("p1 reads the list itself; the answer takes %lld ms",
+      bool first = m.target.find("page-token") == std::string::npos;
+      record.Line("p1 reads the list itself, page %d; the answer takes %lld ms", first ? 1 : 2,
                   static_cast<long long>(kSlowMs));
       Millis began = Now();
-      // The cut heals, and a moment later the server begins to drain.
-      SleepMs(20);
-      cut = false;
-      record.Line("the control machines reach the platform again");
-      SleepMs(10);
-      BeginDrain();
+      if (first) {
+        // The cut heals, and a moment later the server begins to drain.
+        SleepMs(20);
+        cut = false;
+        record.Line("the control machines reach the platform again");
+        SleepMs(10);
+        BeginDrain();
+      }
       SleepUntil(began + kSlowMs);
-      slow = false;
-      calm_at = Now();
-      record.Line("the answer goes to p1; from here on nothing is in trouble");
+      if (!first) {
+        slow = false;
+        calm_at = Now();
+        record.Line("the answer goes to p1; from here on nothing is in trouble");
+      }
     }
     return bytes;
   });
@@ -173,7 +194,7 @@
   record.Line("i-3 ends, and leaves the list; %d requests reached it in all", before_end);
   {
     std::lock_guard<std::mutex> lock(mutex);
-    list.pop_back();
+    list.erase(list.begin() + 2);
     ended = true;
   }
   SleepMs(1500);
