A canary lease runs from the proxy's question, not from the renewal's arrival

Cause: a renewal did not say which question it answered, so CanaryPolicy let the lease run from the moment at which it was read, however long it had waited.

Change: a report carries the time of its question, the renewal returns it, and the lease runs from there. Fields that earlier programs don't know follow a frame's other fields and are left out where not set (wire::HasLaterFields): the golden frames stay as they are, frames without them are read, and a renewal that names no question counts from its arrival as before.

Measured: with the policy of before CanaryPolicy.ALeaseRunsFromTheQuestion... fails (v2 at 12000, where the lease had ended at 4500); with the change it passes, and so do all others.

--- a/src/controller/rollout_manager.cc
+++ b/src/controller/rollout_manager.cc
@@ -105,7 +105,7 @@
   base::Millis now = base::SteadyMillis();
   bool observed = observer_.OnProxyReport(now, report);
   if (!observed || !report.wants_renewal || !context_->IsInContactWithLeader(now)) return;
-  rollout::LeaseRenewal renewal{report.number, context_->state.rollouts.version()};
+  rollout::LeaseRenewal renewal{report.number, context_->state.rollouts.version(), report.asked_at};
   context_->node->mesh().SendDatagram(from, wire::Kind::kLeaseRenewal, renewal);
 }
 
--- a/src/rollout/canary_policy.cc
+++ b/src/rollout/canary_policy.cc
@@ -47,10 +47,15 @@
 }
 
 void CanaryPolicy::OnLeaseRenewal(base::Millis now, const LeaseRenewal& renewal) {
+  // The lease runs from the question: the answer may have been on its way, or in the socket of a
+  // suspended process, for longer than the lease lasts.
+  bool names_question = renewal.asked_at != 0;
+  if (names_question && renewal.asked_at > now) return;
   for (auto& [service, state] : active_) {
     // An observer that knows of less than this proxy can't know that nothing was taken back since.
-    if (state.rollout.number == renewal.number && renewal.version >= version_)
-      state.lease_renewed_at = now;
+    if (state.rollout.number != renewal.number || renewal.version < version_) continue;
+    state.lease_renewed_at =
+        names_question ? std::max(state.lease_renewed_at, renewal.asked_at) : now;
   }
 }
 
--- a/src/rollout/messages.h
+++ b/src/rollout/messages.h
@@ -63,11 +63,17 @@
   bool confirmed = false;      // sends nothing new to the version that the stage moves away from
   bool wants_renewal = false;  // asks for a LeaseRenewal
   std::vector<Row> rows;
+  int64_t asked_at = 0;  // milliseconds of the proxy's steady clock; comes back in the renewal
   template <class A>
   void serialize(A& a) {
     a(node, boot_id, number, version, age_ms, requests, exposed, old_in_flight, new_in_flight,
       confirmed, wants_renewal, rows);
   }
+  bool has_later_fields() const { return asked_at != 0; }
+  template <class A>
+  void SerializeLaterFields(A& a) {
+    a(asked_at);
+  }
 };
 
 // An observer's answer to a report, sent as long as the observer itself is in contact with a
@@ -75,10 +81,16 @@
 struct LeaseRenewal {
   uint64_t number = 0;
   uint64_t version = 0;
+  int64_t asked_at = 0;  // of the report that it answers; 0 from an observer that does not say
   template <class A>
   void serialize(A& a) {
     a(number, version);
   }
+  bool has_later_fields() const { return asked_at != 0; }
+  template <class A>
+  void SerializeLaterFields(A& a) {
+    a(asked_at);
+  }
 };
 
 enum class Opinion : uint8_t { kAbstains, kGood, kBad };
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -11,6 +11,8 @@
 #include <streambuf>
 #include <string>
 #include <string_view>
+#include <type_traits>
+#include <utility>
 
 namespace elderkeel::wire {
 
@@ -93,6 +95,16 @@
   std::string* text_;
 };
 
+// Whether a message has fields that earlier versions of the program neither send nor read: they
+// follow those of `serialize`, and only if `has_later_fields()`. Who does not know them ignores
+// them; where they are missing they keep their defaults.
+template <class Message, class = void>
+struct HasLaterFields : std::false_type {};
+template <class Message>
+struct HasLaterFields<Message,
+                      std::void_t<decltype(std::declval<const Message&>().has_later_fields())>>
+    : std::true_type {};
+
 template <class Message>
 std::string Encode(const Message& message) {
   std::string out;
@@ -100,6 +112,9 @@
   std::ostream stream(&sink);
   cereal::BinaryOutputArchive archive(stream);
   archive(message);
+  if constexpr (HasLaterFields<Message>::value) {
+    if (message.has_later_fields()) const_cast<Message&>(message).SerializeLaterFields(archive);
+  }
   return out;
 }
 
@@ -112,6 +127,9 @@
     cereal::BinaryInputArchive archive(stream);
     Message message;
     archive(message);
+    if constexpr (HasLaterFields<Message>::value) {
+      if (source.in_avail() > 0) message.SerializeLaterFields(archive);
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/tests/compatibility/golden_test.cc
+++ b/tests/compatibility/golden_test.cc
@@ -315,6 +315,31 @@
   }
 }
 
+// Fields that came later: where they are not set a frame is the one of before, and it is read
+// without them.
+template <class Message>
+void CheckLaterFields(Golden* golden, const std::string& name, const Message& before,
+                      const Message& with) {
+  std::string bytes = wire::Encode(with);
+  EXPECT_EQ(bytes.substr(0, wire::Encode(before).size()), wire::Encode(before)) << name;
+  auto decoded = wire::Decode<Message>(wire::Encode(before));
+  ASSERT_TRUE(decoded.has_value()) << name;
+  EXPECT_FALSE(decoded->has_later_fields()) << name;
+  EXPECT_FALSE(wire::Decode<Message>(bytes.substr(0, bytes.size() - 1)).has_value()) << name;
+  golden->AddEncoded(name, with);
+}
+
+TEST(Golden, FieldsThatCameLater) {
+  Golden golden("golden_later_fields.txt");
+  rollout::LeaseRenewal renewal{3, 4};
+  CheckLaterFields(&golden, "acknowledgement", renewal, {3, 4, 1000});
+  rollout::ProxyReport report;
+  report.rows = {MakeRow()};
+  rollout::ProxyReport asking = report;
+  asking.asked_at = 1000;
+  CheckLaterFields(&golden, "report", report, asking);
+}
+
 TEST(Golden, FrameKinds) {
   using wire::Kind;
   const std::vector<Kind> kinds = {
--- /dev/null
+++ b/tests/rollout/late_messages_test.cc
@@ -0,0 +1,61 @@
+// Messages of a roll-out that waited on their way or in the socket of a suspended process.
+#include <gtest/gtest.h>
+
+#include "rollout/canary_policy.h"
+
+namespace elderkeel::rollout {
+namespace {
+
+using base::Millis;
+
+constexpr uint64_t kObserver = 7;
+
+// A roll-out of "s" from v1 to v2, observed by kObserver.
+Rollouts Ordered() {
+  Rollouts rollouts;
+  Step found;
+  found.kind = Step::Kind::kDetected;
+  found.found = {{"s", "v1"}};
+  EXPECT_TRUE(rollouts.Apply(found));
+  Step order;
+  order.kind = Step::Kind::kOrder;
+  order.order = {"s", "v2", 14000};
+  order.observers = {kObserver};
+  EXPECT_TRUE(rollouts.Apply(order));
+  return rollouts;
+}
+
+// A proxy that woke took a renewal of before for new, and sent to a version that it may not use.
+TEST(CanaryPolicy, ALeaseRunsFromTheQuestionHoweverLateTheRenewal) {
+  Rollouts rollouts = Ordered();
+  CanaryPolicy::Options options;
+  CanaryPolicy policy(options);
+  policy.Adopt(1000, rollouts);
+  Millis asked_at = 2000;
+  policy.OnLeaseRenewal(2050, {1, rollouts.version(), asked_at});
+  EXPECT_EQ(policy.RuleOf(asked_at + options.lease - 1, "s").secondary, "v2");
+  EXPECT_EQ(policy.RuleOf(asked_at + options.lease, "s").secondary, "");
+  // Suspended until 12000; the renewal asked for at 3000 waited in the socket.
+  policy.OnLeaseRenewal(12000, {1, rollouts.version(), 3000});
+  EXPECT_EQ(policy.RuleOf(12000, "s").secondary, "");
+  EXPECT_EQ(policy.RuleOf(12000, "s").excluded, "v2");
+  policy.OnLeaseRenewal(12100, {1, rollouts.version(), 12010});
+  EXPECT_EQ(policy.RuleOf(12100, "s").secondary, "v2");
+  // One that comes after a later one takes nothing back.
+  policy.OnLeaseRenewal(12200, {1, rollouts.version(), 11000});
+  EXPECT_EQ(policy.RuleOf(12010 + options.lease - 1, "s").secondary, "v2");
+  // A question of another machine's clock, before a restart, renews nothing.
+  policy.OnLeaseRenewal(13000, {1, rollouts.version(), 99000});
+  EXPECT_EQ(policy.RuleOf(12010 + options.lease, "s").secondary, "");
+}
+
+TEST(CanaryPolicy, ARenewalOfAnObserverThatNamesNoQuestionCountsFromItsArrival) {
+  Rollouts rollouts = Ordered();
+  CanaryPolicy policy{CanaryPolicy::Options()};
+  policy.Adopt(1000, rollouts);
+  policy.OnLeaseRenewal(9000, {1, rollouts.version()});
+  EXPECT_EQ(policy.RuleOf(9100, "s").secondary, "v2");
+}
+
+}  // namespace
+}  // namespace elderkeel::rollout
