An observer that has just woken counts no proxy as moved

Callers could see: servers of the old version stopped while a proxy still sent to them. Nobody reported it; found beside the late lease renewal.

Cause: an observer that was suspended reads the reports that waited in its sockets and takes them for fresh. It withheld its opinion of the version for a second, but not that all proxies have moved, and one such vote completes a roll-out.

Change: until it has been awake for a second an observer counts nobody as moved.

Measured: with the code of before Observer.ConfirmsNothingByReportsThatWaitedWhileItSlept fails (0 unconfirmed where 1 is expected); now it passes.

--- a/src/rollout/observer.cc
+++ b/src/rollout/observer.cc
@@ -173,6 +173,8 @@
   vote.version = version_;
   vote.requests = watch.requests;
   vote.exposed = watch.exposed;
+  // Reports that waited in its sockets while this process was suspended say nothing about now.
+  bool just_woken = now - awake_at_ < options_.gap;
   for (const auto& [id, reporting] : watch.proxies) {
     vote.age_ms = std::max(vote.age_ms,
                            static_cast<uint32_t>(reporting.report.age_ms + (now - reporting.at)));
@@ -183,7 +185,7 @@
     bool reporting = at != watch.proxies.end() && now - at->second.at < options_.fresh;
     vote.reporting += reporting && proxy.reachable;
     bool confirmed = false;
-    if (reporting && at->second.report.version >= version_) {
+    if (reporting && !just_woken && at->second.report.version >= version_) {
       const ProxyReport& t = at->second.report;
       confirmed = watch.rollout.stage == Stage::kPromoting   ? t.confirmed && t.old_in_flight == 0
                   : watch.rollout.stage == Stage::kReverting ? t.new_in_flight == 0
@@ -196,7 +198,7 @@
     if (vote.missing.size() < 8) vote.missing.push_back(proxy.id);
   }
   vote.rows = watch.comparison.PartDigests();
-  if (now - awake_at_ < options_.gap) {
+  if (just_woken) {
     vote.why = "has only just woken";
   } else if (!watch.comparison.bad().empty()) {
     vote.opinion = Opinion::kBad;
--- a/tests/rollout/late_messages_test.cc
+++ b/tests/rollout/late_messages_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "rollout/canary_policy.h"
+#include "rollout/observer.h"
 
 namespace elderkeel::rollout {
 namespace {
@@ -25,6 +26,16 @@
   return rollouts;
 }
 
+Rollouts Promoting() {
+  Rollouts rollouts = Ordered();
+  Step stage;
+  stage.kind = Step::Kind::kStage;
+  stage.number = 1;
+  stage.stage = Stage::kPromoting;
+  EXPECT_TRUE(rollouts.Apply(stage));
+  return rollouts;
+}
+
 // A proxy that woke took a renewal of before for new, and sent to a version that it may not use.
 TEST(CanaryPolicy, ALeaseRunsFromTheQuestionHoweverLateTheRenewal) {
   Rollouts rollouts = Ordered();
@@ -57,5 +68,33 @@
   EXPECT_EQ(policy.RuleOf(9100, "s").secondary, "v2");
 }
 
+// A woken observer said that all proxies had moved, by reports that had waited in its sockets.
+TEST(Observer, ConfirmsNothingByReportsThatWaitedWhileItSlept) {
+  Rollouts rollouts = Promoting();
+  Observer::Options options;
+  options.self = kObserver;
+  Observer observer(options);
+  observer.Adopt(rollouts);
+  ProxyReport report;
+  report.node = 1;
+  report.boot_id = 5;
+  report.number = 1;
+  report.version = rollouts.version();
+  report.confirmed = true;
+  auto vote = [&](Millis now) {
+    ++report.age_ms;
+    EXPECT_TRUE(observer.OnProxyReport(now, report));
+    std::vector<Vote> votes = observer.Tick(now, {{1, true}});
+    return votes.empty() ? Vote() : votes[0];
+  };
+  EXPECT_EQ(vote(5000).unconfirmed, 0u);
+  Vote woken = vote(15000);
+  EXPECT_EQ(woken.unconfirmed, 1u);
+  EXPECT_EQ(woken.opinion, Opinion::kAbstains);
+  // What is reported later says what is so now.
+  for (Millis now = 15300; now < 16000; now += 300) vote(now);
+  EXPECT_EQ(vote(16200).unconfirmed, 0u);
+}
+
 }  // namespace
 }  // namespace elderkeel::rollout
