A list replaces another only if the platform was asked for it later

Callers could see: requests at a server that had been known as draining, until the next reading was known.

Cause: across readers the epoch decided, so a new reader's first reading, asked for before the list that stood, replaced it; and an update was dated by its arrival, so that its time on a full link or in the socket of a suspended process made it pass for younger than an own reading asked for after it. Digests carried that error on from node to node.

Change: an update says which question it answers and counts from that; what came unasked is asked for; a list that stands counts as read when it arrived, at the latest. Publish refuses what was asked for before the list that is here, and CatalogPoller then numbers nothing and vouches for nothing. A reader's lists name the list that they succeed, so that whoever has that one needs no clock. Programs that don't say what they answer are treated as before.

--- a/src/controller/catalog_poller.cc
+++ b/src/controller/catalog_poller.cc
@@ -143,13 +143,18 @@
     context_->node->ConfirmEndpoints(reading->asked_at, epoch_);
     return;
   }
-  servers_ = std::move(reading->servers);
+  discovery::EndpointSnapshot endpoints{epoch_, sequence_ + 1, std::move(reading->servers)};
+  if (!context_->node->Publish(reading->asked_at, endpoints)) {
+    // A later reader's list is here, or one that was asked for after this one.
+    bool replaced = context_->node->disseminator().endpoints().epoch > epoch_;
+    base::Info(replaced ? "catalog.superseded" : "catalog.reading_outdated",
+               {{"epoch", epoch_}, {"age_ms", last_success_at_ - reading->asked_at}});
+    return;
+  }
   ++sequence_;
+  servers_ = std::move(endpoints.servers);
   base::Info("catalog.changed",
              {{"epoch", epoch_}, {"sequence", sequence_}, {"servers", servers_.size()}});
-  if (!context_->node->Publish(reading->asked_at, {epoch_, sequence_, servers_})) {
-    base::Info("catalog.superseded", {{"epoch", epoch_}});
-  }
 }
 
 }  // namespace elderkeel::controller
--- a/src/dissemination/disseminator.cc
+++ b/src/dissemination/disseminator.cc
@@ -36,6 +36,7 @@
     : options_(std::move(options)),
       membership_(members),
       random_(options_.seed),
+      started_at_(now),
       digest_at_(now),
       log_schedule_(ScheduleOptions(options_), now),
       endpoints_schedule_(ScheduleOptions(options_), now) {}
@@ -123,16 +124,11 @@
   }
 }
 
-// A reader's lists are ordered by its numbers. With an own reading the moments decide: the reader's
-// list may be older than it, whatever its number, or newer though it has the same.
-bool Disseminator::IsNewerList(const EndpointVersion& version, base::Millis read_at) const {
-  if (!has_endpoints()) return true;
-  if (!HasOwnReading()) return OwnEndpointVersion().Lacks(version);
-  return read_at > read_at_ && !version.Lacks(OwnEndpointVersion());
-}
-
 bool Disseminator::LacksEndpoints(const PeerState& peer) const {
   if (!has_endpoints()) return peer.has_endpoints || OwnEndpointVersion().Lacks(peer.endpoints);
+  // A later reader's list is asked for once, whenever it was read: it says what it succeeds.
+  bool offered = peer.endpoints == not_known_newer_;
+  if (!HasOwnReading() && peer.endpoints.epoch > endpoints_.epoch && !offered) return true;
   return IsNewerList(peer.endpoints, peer.endpoints_read_at);
 }
 
@@ -142,9 +138,10 @@
 
 size_t Disseminator::EndpointsBytes() const { return endpoints_.servers.size() * kEndpointBytes; }
 
-// Whoever has this very list knows when the platform was last read for it.
+// Whoever has this very list knows when the platform was last read for it. By an answer alone,
+// which counts from the question: a message that nobody asked for may have been long on its way.
 void Disseminator::NoteReadAt(const EndpointVersion& endpoints, base::Millis read_at) {
-  if (HasOwnReading()) return;
+  if (!exact_) return;
   bool same = endpoints.epoch == endpoints_.epoch && endpoints.sequence == endpoints_.sequence;
   if (same && has_endpoints()) read_at_ = std::max(read_at_, read_at);
 }
@@ -190,6 +187,7 @@
   if (endpoints) {
     pull.epoch = endpoints_.epoch;
     pull.sequence = endpoints_.sequence;
+    pull.asked_at = now;
   }
   if (other) {
     pull.zone_drains = own.zone_drains;
@@ -199,7 +197,7 @@
 }
 
 bool Disseminator::SendMissing(base::Millis now, const base::Address& to, const PeerState& peer,
-                               bool exact) {
+                               bool exact, int64_t asked_at) {
   bool all = true;
   // Before the list: a node that knows of servers must know which of them it may send to.
   if (peer.versions.rollouts < rollouts_.version()) out_.rollouts.push_back({to, {rollouts_}});
@@ -207,7 +205,7 @@
     all &= SendConfiguration(now, to, peer.versions.revision, false);
   }
   if (has_endpoints() && endpoints_.NewerThan(peer.endpoints.epoch, peer.endpoints.sequence)) {
-    all &= SendEndpoints(now, to, peer.endpoints.epoch, peer.endpoints.sequence, exact, false);
+    all &= SendEndpoints(now, to, {peer.endpoints, exact, false, asked_at});
   }
   if (peer.versions.zone_drains < drained_zones_.version())
     out_.zone_drains.push_back({to, {drained_zones_}});
@@ -215,14 +213,11 @@
 }
 
 void Disseminator::OnDigest(base::Millis now, const base::Address& from, const Digest& digest) {
-  if (digest.endpoints_read_age_ms >= 0) {
-    NoteReadAt({digest.epoch, digest.sequence}, now - digest.endpoints_read_age_ms);
-  }
   PeerState peer{{digest.revision, digest.zone_drains, digest.rollouts},
                  {digest.epoch, digest.sequence},
                  digest.endpoints_read_age_ms >= 0,
                  digest.endpoints_read_age_ms >= 0 ? now - digest.endpoints_read_age_ms : -1};
-  bool sent_all = SendMissing(now, from, peer, true);
+  bool sent_all = SendMissing(now, from, peer, true, EndpointUpdate::kUnasked);
   RequestMissing(now, from, peer);
   // What is too large to be sent unasked is asked for by a peer that sees this node's digest.
   if (digest.answer || !sent_all) {
@@ -236,7 +231,7 @@
                                  const SyncRequest& request) {
   PeerState peer{request.versions, request.endpoints, request.endpoints.epoch > 0};
   size_t queued = out_.updates();
-  SendMissing(now, from, peer, request.exact);
+  SendMissing(now, from, peer, request.exact, request.asked_at);
   bool sent = out_.updates() != queued;
   SyncReply reply;
   reply.asked_at = request.asked_at;
@@ -299,7 +294,7 @@
                pull.sequence == endpoints_.sequence;
   if (has_endpoints() &&
       (endpoints_.NewerThan(pull.epoch, pull.sequence) || truer || pull.epoch == 0)) {
-    SendEndpoints(now, from, pull.epoch, pull.sequence, pull.exact, true);
+    SendEndpoints(now, from, {{pull.epoch, pull.sequence}, pull.exact, true, pull.asked_at});
   }
   if (drained_zones_.version() > pull.zone_drains)
     out_.zone_drains.push_back({from, {drained_zones_}});
@@ -356,8 +351,9 @@
         sent = SendConfiguration(now, node->address(), configuration_base(), false);
         break;
       case Topic::kEndpoints:
-        sent = !history_.empty() && SendEndpoints(now, node->address(), history_.back().epoch,
-                                                  history_.back().sequence, true, false);
+        sent = !history_.empty() &&
+               SendEndpoints(now, node->address(),
+                             {{history_.back().epoch, history_.back().sequence}, true});
         break;
       case Topic::kZoneDrain:
         out_.zone_drains.push_back({node->address(), {drained_zones_}});
--- a/src/dissemination/disseminator.h
+++ b/src/dissemination/disseminator.h
@@ -137,13 +137,15 @@
   const discovery::EndpointSnapshot& endpoints() const { return endpoints_; }
   const zone_drain::DrainedZones& drained_zones() const { return drained_zones_; }
   const rollout::Rollouts& rollouts() const { return rollouts_; }
-  bool has_endpoints() const { return read_at_ >= 0; }
+  bool has_endpoints() const { return has_endpoints_; }
   // Milliseconds since what the log decides, as it is here, was known to be the newest; -1 for
   // never. All that was acknowledged before that moment is in force here.
   base::Millis log_age(base::Millis now) const { return log_.age(now); }
   base::Millis endpoints_age(base::Millis now) const { return endpoints_freshness_.age(now); }
+  // Milliseconds since the platform was asked for the list, or for one that showed the same, at
+  // most; -1 without a list.
   base::Millis endpoints_read_age(base::Millis now) const {
-    return read_at_ < 0 ? -1 : now - read_at_;
+    return has_endpoints_ ? now - read_at_ : -1;
   }
 
  private:
@@ -166,6 +168,13 @@
     bool has_endpoints = false;
     base::Millis endpoints_read_at = -1;  // by this node's clock; -1 if not said
   };
+  // What a peer has of the list, and what it may be sent.
+  struct EndpointsWanted {
+    EndpointVersion has;
+    bool exact = false;         // it has the list just as `has` names it
+    bool asked_for_it = false;  // then a large list is sent too
+    int64_t asked_at = EndpointUpdate::kUnasked;
+  };
 
   // As of when the state of a topic counts as known, for asking peers.
   template <class Version>
@@ -182,8 +191,18 @@
   base::Millis SharedReadAge(base::Millis now) const {
     return HasOwnReading() ? -1 : endpoints_read_age(now);
   }
-  // Whether a list of this version, read at that moment, is newer than the one that is here.
+  // Whether a list of this version, read at that moment or later, is newer than the one that is
+  // here.
   bool IsNewerList(const EndpointVersion& version, base::Millis read_at) const;
+  // Whether the update says what changed in the very list that is here.
+  bool BuildsOnOwnList(const EndpointUpdate& update) const;
+  // Whether it is of a later reader that knew the list that is here, or a newer one, when it read.
+  bool SucceedsOwnList(const EndpointUpdate& update) const;
+  // The earliest moment at which the platform can have been asked for the update's list.
+  base::Millis EarliestReading(base::Millis now, const EndpointUpdate& update) const;
+  bool IsNewerUpdate(base::Millis now, const EndpointUpdate& update) const;
+  // The list that the update leads to, on this process's clock.
+  std::vector<discovery::Server> Merge(base::Millis now, const EndpointUpdate& update) const;
   bool Lacks(const PeerState& peer) const;
   bool LacksEndpoints(const PeerState& peer) const;
   // Of all endpoints in an update, about.
@@ -192,11 +211,15 @@
 
   // False where it is too large to be sent unasked. What was just sent there is not sent again.
   bool SendConfiguration(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
-  bool SendEndpoints(base::Millis now, const base::Address& to, uint64_t epoch, uint64_t sequence,
-                     bool exact, bool asked);
+  bool SendEndpoints(base::Millis now, const base::Address& to, const EndpointsWanted& wanted);
+  // Fills in all servers or, if the steps from what the peer has are remembered, those that differ.
+  void FillServers(base::Millis now, const EndpointsWanted& wanted, EndpointUpdate* update) const;
+  // The first remembered step from what the peer has; the end if there is none.
+  size_t FirstStepFrom(const EndpointsWanted& wanted) const;
   bool RecentlySent(base::Millis now, const base::Address& to, uint64_t what);
   // Sends all that the peer lacks and that is small. False if something is too large.
-  bool SendMissing(base::Millis now, const base::Address& to, const PeerState& peer, bool exact);
+  bool SendMissing(base::Millis now, const base::Address& to, const PeerState& peer, bool exact,
+                   int64_t asked_at);
   // Asks for what `peer` has beyond this node, each kind of state at most once in a while.
   void RequestMissing(base::Millis now, const base::Address& from, const PeerState& peer);
   bool MayFetch(base::Millis now, Fetch* fetch, size_t bytes);
@@ -228,7 +251,14 @@
   std::deque<Step> history_;  // leads up to endpoints_
   zone_drain::DrainedZones drained_zones_;
   rollout::Rollouts rollouts_;
-  base::Millis read_at_ = -1;  // when the platform was asked for endpoints_; -1 for never
+  bool has_endpoints_ = false;
+  // The platform was asked for what endpoints_ show at `read_at_` or later, and before or at
+  // `read_before_`, on this process's clock: how long an update was on its way is not known.
+  base::Millis read_at_ = -1;
+  base::Millis read_before_ = -1;
+  EndpointVersion succeeds_;         // what their reader had when it began
+  EndpointVersion not_known_newer_;  // a later reader's list that was offered and not taken
+  base::Millis started_at_;
   base::Millis digest_at_ = 0;
   base::Millis lacking_since_ = -1;  // as answers of peers say; -1 for not
   Fetch fetch_configuration_, fetch_endpoints_, fetch_other_;
--- a/src/dissemination/versions.h
+++ b/src/dissemination/versions.h
@@ -30,6 +30,9 @@
   bool Covers(const EndpointVersion& other) const {
     return epoch > 0 && epoch == other.epoch && sequence >= other.sequence;
   }
+  bool operator==(const EndpointVersion& other) const {
+    return epoch == other.epoch && sequence == other.sequence;
+  }
   bool Lacks(const EndpointVersion& other) const {
     return other.epoch > epoch || (other.epoch == epoch && other.sequence > sequence);
   }
--- a/tests/compatibility/golden_test.cc
+++ b/tests/compatibility/golden_test.cc
@@ -338,6 +338,16 @@
   rollout::ProxyReport asking = report;
   asking.asked_at = 1000;
   CheckLaterFields(&golden, "report", report, asking);
+  dissemination::PullRequest pull{1, 2, 3, 4, 5, true};
+  CheckLaterFields(&golden, "pull", pull, {1, 2, 3, 4, 5, true, 1000});
+  dissemination::EndpointUpdate update;
+  update.epoch = 5;
+  update.sequence = 6;
+  update.servers = {MakeServer("i-1")};
+  dissemination::EndpointUpdate answer = update;
+  answer.asked_at = 1000;
+  answer.succeeds = {4, 9};
+  CheckLaterFields(&golden, "endpoints", update, answer);
 }
 
 TEST(Golden, FrameKinds) {
