Logs tell what an ending proxy waits for, whose list was adopted, and each attempt

Change: `shutdown.phase` at each phase and each second of it; debug lines for each adopted list and each attempt; with debug lines on every line ends in the steady clock, which all processes of a machine share. What debug lines cost is spent only where they are written.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -3,6 +3,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "base/clock.h"
+
 namespace elderkeel::base {
 namespace {
 
@@ -65,8 +67,10 @@
   return otherwise;
 }
 
+bool IsLogged(LogLevel level) { return Logger().should_log(Convert(level)); }
+
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
-  if (!Logger().should_log(Convert(level))) return;
+  if (!IsLogged(level)) return;
   std::string line = "event=";
   AppendLogValue(&line, event);
   for (const LogField& field : fields) {
@@ -75,6 +79,7 @@
     line.push_back('=');
     AppendLogValue(&line, field.value.text());
   }
+  if (IsLogged(LogLevel::kDebug)) line += " steady_ms=" + std::to_string(SteadyMillis());
   Logger().log(Convert(level), spdlog::string_view_t(line.data(), line.size()));
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -34,7 +34,11 @@
 enum class LogLevel { kDebug, kInfo, kWarn, kError };
 
 void SetLogLevel(LogLevel level);
+// Whether lines of this level are written: asked first where a line costs much to make.
+bool IsLogged(LogLevel level);
 LogLevel ParseLogLevel(std::string_view name, LogLevel otherwise);
+// With debug lines on, each line ends in `steady_ms`, the clock that all processes of a machine
+// share.
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 void Debug(std::string_view event, std::initializer_list<LogField> fields = {});
 void Info(std::string_view event, std::initializer_list<LogField> fields = {});
--- a/src/cluster/cluster_node.cc
+++ b/src/cluster/cluster_node.cc
@@ -382,7 +382,16 @@
   if (effects.configuration_adopted && callbacks_.configuration_adopted) {
     callbacks_.configuration_adopted();
   }
-  if (effects.endpoints_adopted && callbacks_.endpoints_adopted) callbacks_.endpoints_adopted();
+  if (effects.endpoints_adopted) {
+    const discovery::EndpointSnapshot& endpoints = disseminator_.endpoints();
+    const auto& from = effects.endpoints_from;
+    base::Debug("endpoints.adopted",
+                {{"epoch", endpoints.epoch},
+                 {"sequence", endpoints.sequence},
+                 {"read_age_ms", disseminator_.endpoints_read_age(base::SteadyMillis())},
+                 {"from", from ? from->ToString() : "self"}});
+    if (callbacks_.endpoints_adopted) callbacks_.endpoints_adopted();
+  }
   if (effects.zone_drains_adopted && callbacks_.zone_drains_adopted) {
     callbacks_.zone_drains_adopted();
   }
--- a/src/dissemination/disseminator.h
+++ b/src/dissemination/disseminator.h
@@ -64,6 +64,7 @@
     std::vector<Reply> sync_replies;
     bool configuration_adopted = false;
     bool endpoints_adopted = false;
+    std::optional<base::Address> endpoints_from;  // who sent them; none for a reading of this node
     bool zone_drains_adopted = false;
     bool rollouts_adopted = false;
     // Messages that carry state.
--- a/src/dissemination/disseminator_endpoints.cc
+++ b/src/dissemination/disseminator_endpoints.cc
@@ -212,6 +212,7 @@
   Replace({update.epoch, update.sequence, Merge(now, update)}, update.exact);
   read_at_ = read_at;
   read_before_ = now;
+  out_.endpoints_from = from;
   Forward(now, Topic::kEndpoints, &from);
 }
 
--- a/src/forwarding/attempts.cc
+++ b/src/forwarding/attempts.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.h"
 #include "forwarding/headers.h"
 #include "forwarding/request_router.h"
 #include "forwarding/server_messages.h"
@@ -119,6 +120,11 @@
   connection->OnLarge([this, ticket, id](const Message& so_far, int64_t length) {
     return StreamAnswer(ticket, id, so_far, length);
   });
+  if (base::IsLogged(base::LogLevel::kDebug)) {
+    base::Debug("attempt.sent", {{"attempt_id", pending->attempt_id},
+                                 {"send", id},
+                                 {"server", balancer_.at(attempt.server).id}});
+  }
   std::string bytes = SerializeRequest(pending->request, balancer_.at(attempt.server).id,
                                        pending->deadline - base::SteadyMillis());
   connection->Send(
@@ -238,6 +244,13 @@
   // The mean is of the version that most requests go to.
   bool counts = state.version_role == ServerState::VersionRole::kPrimary;
   base::Millis now = base::SteadyMillis();
+  if (base::IsLogged(base::LogLevel::kDebug)) {
+    base::Debug("attempt.ended", {{"attempt_id", pending->attempt_id},
+                                  {"send", attempt.id},
+                                  {"server", state.id},
+                                  {"status", status},
+                                  {"reason", verdict.reason}});
+  }
   SettleAttempt(now, pending, &attempt, verdict, status);
   uint32_t service = state.service;
   bool run = verdict.outcome == AttemptOutcome::kRun;
--- a/src/forwarding/request_router.cc
+++ b/src/forwarding/request_router.cc
@@ -278,6 +278,20 @@
   return requests_.emplace(ticket, std::move(added)).first->second.get();
 }
 
+RequestRouter::InFlight RequestRouter::GetInFlight() const {
+  InFlight in_flight;
+  in_flight.requests = requests_.size();
+  int64_t oldest_ns = INT64_MAX;
+  for (const auto& [ticket, pending] : requests_) {
+    in_flight.attempts += pending->attempts.size();
+    if (pending->arrived_ns >= oldest_ns) continue;
+    oldest_ns = pending->arrived_ns;
+    in_flight.oldest_attempt_id = pending->attempt_id;
+  }
+  if (!requests_.empty()) in_flight.oldest_ms = (base::SteadyNanos() - oldest_ns) / 1000000;
+  return in_flight;
+}
+
 void RequestRouter::Tick() {
   base::Millis now = base::SteadyMillis();
   connections_.CloseExpired(now);
--- a/src/forwarding/request_router.h
+++ b/src/forwarding/request_router.h
@@ -99,6 +99,15 @@
   // Clients that connect are refused, so that there is an end to those that are here.
   void StopListening() { server_.StopListening(); }
   size_t busy() const { return server_.busy(); }
+  wire::HttpServer::Occupancy GetOccupancy() const { return server_.GetOccupancy(); }
+  // Requests that have no final answer yet.
+  struct InFlight {
+    size_t requests = 0;
+    size_t attempts = 0;         // at servers
+    base::Millis oldest_ms = 0;  // since the oldest of them was read
+    std::string oldest_attempt_id;
+  };
+  InFlight GetInFlight() const;
   // Fails what is still in flight, but for answers that are already on their way to the client.
   void FailUnanswered();
   // Fails all that is still in flight; false if there was nothing.
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -69,6 +69,9 @@
     return noticed ? Phase::kDraining : Phase::kNotReady;
   }
 
+  // Since SIGTERM; 0 before it.
+  base::Millis LeavingFor(base::Millis now) const { return leaving() ? now - left_at_ : 0; }
+
   // How long until the next phase may begin, but for an end because nothing is left. `most` if none
   // begins before that.
   // REQUIRES: leaving()
@@ -89,4 +92,23 @@
   bool confirmed_ = false;
 };
 
+inline const char* PhaseName(Lifecycle::Phase phase) {
+  using Phase = Lifecycle::Phase;
+  switch (phase) {
+    case Phase::kServing:
+      return "serving";
+    case Phase::kNotReady:
+      return "not_ready";
+    case Phase::kDraining:
+      return "draining";
+    case Phase::kRejecting:
+      return "rejecting";
+    case Phase::kAnswering:
+      return "answering";
+    case Phase::kStopped:
+      return "stopped";
+  }
+  return "unknown";
+}
+
 }  // namespace elderkeel::lifecycle
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -267,7 +267,9 @@
 // By a timer of its own, since phases begin between ticks.
 void Proxy::ShutDown() {
   base::Millis now = base::SteadyMillis();
-  if (AdvanceShutdown(lifecycle_.PhaseAt(now, router_->busy()), router_.get())) {
+  lifecycle::Lifecycle::Phase phase = lifecycle_.PhaseAt(now, router_->busy());
+  shutdown_log_.Note(now, lifecycle_.LeavingFor(now), phase, *router_);
+  if (AdvanceShutdown(phase, router_.get())) {
     base::Info("proxy.stopped", {{"busy", router_->busy()}});
     loop_->Stop();
     return;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -12,6 +12,7 @@
 #include "lifecycle/lifecycle.h"
 #include "proxy/fallback_reader.h"
 #include "proxy/rollout_reporter.h"
+#include "proxy/shutdown.h"
 #include "proxy/startup_confirmation.h"
 #include "telemetry/recorder.h"
 #include "wire/http_server.h"
@@ -59,6 +60,7 @@
   std::unique_ptr<wire::HttpServer> readiness_server_;
   bool nodes_changed_ = true;  // since the router was updated
   base::Timer tick_timer_;
+  ShutdownLog shutdown_log_;
   base::Timer shutdown_timer_;
 };
 
--- a/src/proxy/shutdown.cc
+++ b/src/proxy/shutdown.cc
@@ -1,6 +1,11 @@
 #include "proxy/shutdown.h"
 
+#include "base/log.h"
+
 namespace elderkeel::proxy {
+namespace {
+constexpr base::Millis kLogEveryMs = 1000;
+}  // namespace
 
 bool AdvanceShutdown(lifecycle::Lifecycle::Phase phase, forwarding::RequestRouter* router) {
   using Phase = lifecycle::Lifecycle::Phase;
@@ -25,4 +30,25 @@
   return true;
 }
 
+void ShutdownLog::Note(base::Millis now, base::Millis elapsed, lifecycle::Lifecycle::Phase phase,
+                       const forwarding::RequestRouter& router) {
+  if (phase == phase_ && now < next_at_) return;
+  phase_ = phase;
+  next_at_ = now + kLogEveryMs;
+  wire::HttpServer::Occupancy occupancy = router.GetOccupancy();
+  forwarding::RequestRouter::InFlight in_flight = router.GetInFlight();
+  base::Info("shutdown.phase", {{"phase", lifecycle::PhaseName(phase)},
+                                {"elapsed_ms", elapsed},
+                                {"connections", occupancy.connections},
+                                {"waiting", occupancy.waiting},
+                                {"reading", occupancy.reading},
+                                {"unsent", occupancy.unsent},
+                                {"unsent_bytes", occupancy.unsent_bytes},
+                                {"lingering", occupancy.lingering},
+                                {"requests", in_flight.requests},
+                                {"attempts", in_flight.attempts},
+                                {"oldest_ms", in_flight.oldest_ms},
+                                {"oldest_attempt_id", in_flight.oldest_attempt_id}});
+}
+
 }  // namespace elderkeel::proxy
--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -444,4 +444,18 @@
                                            [](const auto& at) { return Busy(*at.second); }));
 }
 
+HttpServer::Occupancy HttpServer::GetOccupancy() const {
+  Occupancy occupancy;
+  occupancy.connections = connections_.size();
+  for (const auto& [id, c] : connections_) {
+    size_t unsent_bytes = evbuffer_get_length(bufferevent_get_output(c->socket.get()));
+    occupancy.waiting += !c->slots.empty();
+    occupancy.reading += c->reader.started();
+    occupancy.unsent += unsent_bytes > 0;
+    occupancy.unsent_bytes += unsent_bytes;
+    occupancy.lingering += c->lingering;
+  }
+  return occupancy;
+}
+
 }  // namespace elderkeel::wire
--- a/src/wire/http_server.h
+++ b/src/wire/http_server.h
@@ -63,6 +63,17 @@
   // Connections with a request read or being read, with answer bytes still to be sent, or that wait
   // for the client to close.
   size_t busy() const;
+  // What the connections are at, for whoever asks why the server is still busy. One may count in
+  // several of these.
+  struct Occupancy {
+    size_t connections = 0;
+    size_t waiting = 0;  // for the answer to a request
+    size_t reading = 0;  // a request in part
+    size_t unsent = 0;   // with bytes of answers that the kernel has not taken
+    size_t unsent_bytes = 0;
+    size_t lingering = 0;  // for the client to close
+  };
+  Occupancy GetOccupancy() const;
   size_t connections() const { return connections_.size(); }
 
  private:
