Soak: only who depends on a stalled process is excused, and the judged share is told

Change: the kernel's count excuses that process alone and what depends on it (docs/soak.md); the table says what share of the processes' time was judged; below three quarters a run that broke nothing ends with 3. The thread of the servers is watched too. Processes log at debug level; the report names the clock of their lines. A stopped soak ends what it started and reports; options that can't be used end with 2 before anything is started. Processes have a group of their own, so that Ctrl-C reaches the soak alone, and end with it.

Measured: three new checker tests pass.

--- a/tests/soak/checkers_test.cc
+++ b/tests/soak/checkers_test.cc
@@ -99,6 +99,48 @@
   EXPECT_EQ(Lost(), 0u);
 }
 
+// Another process without a processor is no excuse: what is not judged hides a fault.
+TEST_F(SoakCheckers, OnlyAProcessThatMattersIsExcusedForWantOfAProcessor) {
+  Disturb(Kind::kTerminate, "p1", 0);
+  AddLost(2000, 4800, 4900);
+  record_.stalls.push_back({kTerm + 4000, 500, "p2", 300});
+  EXPECT_EQ(Lost(), 1u);
+  record_.stalls.push_back({kTerm + 4801, 500, "p1", 300});  // afterwards
+  EXPECT_EQ(Lost(), 1u);
+  record_.stalls.push_back({kTerm + 4000, 500, "p1", 300});
+  EXPECT_EQ(Lost(), 0u);
+  Disturb(Kind::kExit, "p1", 6001, "exit 0");
+  EXPECT_TRUE(CheckProcesses(record_, bounds_).empty());
+  record_.stalls.resize(1);
+  EXPECT_EQ(CheckProcesses(record_, bounds_).size(), 1u);
+}
+
+TEST_F(SoakCheckers, DrainIsExcusedForWantOfAProcessorOfItsProxyOrAController) {
+  Disturb(Kind::kServerDrains, "i-1", 0);
+  record_.requests.push_back(MakeRequest("late", bounds_.drain_ms));
+  record_.runs.push_back(MakeRun("late", "i-1", bounds_.drain_ms + 1));
+  auto late = [&](const std::string& stalled) {
+    record_.stalls = {{kTerm + 1000, 500, stalled, 300}};
+    return CheckDrain(record_, bounds_).size();
+  };
+  EXPECT_EQ(late("p2"), 1u);
+  EXPECT_EQ(late("p1"), 0u);
+  EXPECT_EQ(late("c2"), 0u);
+  EXPECT_EQ(late(""), 0u);
+}
+
+TEST_F(SoakCheckers, SayWhatShareOfTheTimeWasJudged) {
+  record_.began_at = kTerm;
+  record_.ended_at = kTerm + 10000;
+  EXPECT_EQ(JudgedShare(record_, 4), 1);
+  record_.stalls.push_back({kTerm + 1000, 500, "p1", 300});
+  EXPECT_DOUBLE_EQ(JudgedShare(record_, 4), 1 - 0.05 / 4);
+  record_.stalls.push_back({kTerm + 5000, 1000});  // all of them
+  EXPECT_DOUBLE_EQ(JudgedShare(record_, 4), 0.9 - 0.05 / 4);
+  record_.stalls.push_back({kTerm - 5000, 4000});  // before the run
+  EXPECT_DOUBLE_EQ(JudgedShare(record_, 4), 0.9 - 0.05 / 4);
+}
+
 TEST_F(SoakCheckers, LostIsNothingThatWasServedOrNeverPassedOn) {
   Disturb(Kind::kTerminate, "p1", 0);
   AddLost(2000, 4800, 4900)->seal = "seal";
--- a/tools/soak/checkers.cc
+++ b/tools/soak/checkers.cc
@@ -1,6 +1,7 @@
 #include "soak/checkers.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -20,18 +21,27 @@
   return runs;
 }
 
-bool AnyStall(const RecordData& record, base::Millis first, base::Millis last) {
+// Whether between two moments one of the processes that matter, or the machine itself, had no
+// processor.
+bool AnyStall(const RecordData& record, base::Millis first, base::Millis last,
+              const std::function<bool(const std::string&)>& matters) {
   return std::any_of(record.stalls.begin(), record.stalls.end(), [&](const Stall& stall) {
-    return stall.at <= last && stall.at + stall.for_ms >= first;
+    bool within = stall.at <= last && stall.at + stall.for_ms >= first;
+    return within && (stall.process.empty() || matters(stall.process));
   });
 }
 
-// Whether anything unplanned happened, or the machine itself stood still, between two moments.
-bool AnyUnplanned(const RecordData& record, base::Millis first, base::Millis last) {
+bool IsController(const std::string& process) { return process[0] == 'c'; }
+bool IsProxy(const std::string& process) { return process[0] == 'p'; }
+
+// Whether anything unplanned happened anywhere, or the process had no processor.
+bool AnyUnplanned(const RecordData& record, base::Millis first, base::Millis last,
+                  const std::string& process) {
   bool unplanned = std::any_of(
       record.disturbances.begin(), record.disturbances.end(),
       [&](const Disturbance& d) { return IsUnplanned(d.kind) && d.at >= first && d.at <= last; });
-  return unplanned || AnyStall(record, first, last);
+  return unplanned || AnyStall(record, first, last,
+                               [&](const std::string& stalled) { return stalled == process; });
 }
 
 bool DisturbsProcess(const Disturbance& d) {
@@ -71,7 +81,8 @@
     if (IsServed(request) || first == last) continue;
     const Disturbance* term = TerminationAround(record, bounds, request);
     if (!term) continue;
-    if (AnyUnplanned(record, request.sent_at - bounds.contact_ms, request.ended_at)) continue;
+    base::Millis calm_from = request.sent_at - bounds.contact_ms;
+    if (AnyUnplanned(record, calm_from, request.ended_at, request.proxy)) continue;
     if (request.ended_at >= request.deadline - kDeadlineSlackMs) continue;
     bool excused = false;
     for (auto run = first; run != last; ++run) {
@@ -154,6 +165,8 @@
   for (const Disturbance& d : record.disturbances) {
     if (d.kind == Kind::kServerDrains) drains_at[d.target] = d.at;
   }
+  std::map<std::string, std::string> proxies;  // by attempt
+  for (const Request& request : record.requests) proxies[request.attempt_id] = request.proxy;
   std::vector<Violation> violations;
   for (const ServerRun& run : record.runs) {
     auto drain = drains_at.find(run.server);
@@ -170,7 +183,12 @@
       }
     }
     if (cut || run.began_at <= from + bounds.drain_ms) continue;
-    if (AnyStall(record, drain->second, run.began_at)) continue;
+    // The news comes from whichever controller reads the list.
+    const std::string& proxy = proxies[run.attempt_id];
+    auto matters = [&](const std::string& process) {
+      return process == proxy || IsController(process);
+    };
+    if (AnyStall(record, drain->second, run.began_at, matters)) continue;
     violations.push_back({"DRAIN", run.began_at,
                           run.server + " began " + run.attempt_id + " " +
                               std::to_string(run.began_at - drain->second) +
@@ -204,7 +222,7 @@
         at = times[last];
       }
     }
-    if (static_cast<double>(worst) <= most || AnyStall(record, at - 1000, at)) continue;
+    if (static_cast<double>(worst) <= most || AnyStall(record, at - 1000, at, IsProxy)) continue;
     violations.push_back(
         {"FAILBACK", at,
          server + " got " + std::to_string(worst) + " requests in a second in its slow start"});
@@ -253,13 +271,26 @@
     if (!process.ended) {
       violations.push_back({"END", d.at, d.target + " ended by itself: " + d.detail});
     } else if (process.terminated_at >= 0 && d.at > process.terminated_at + bounds.grace_ms &&
-               !AnyUnplanned(record, process.terminated_at - bounds.contact_ms, d.at)) {
+               !AnyUnplanned(record, process.terminated_at - bounds.contact_ms, d.at, d.target)) {
       violations.push_back({"END", d.at, d.target + " was still there after its grace time"});
     }
   }
   return violations;
 }
 
+double JudgedShare(const RecordData& record, size_t processes) {
+  auto run_ms = static_cast<double>(record.ended_at - record.began_at);
+  if (run_ms <= 0 || processes == 0) return 0;
+  double lost_ms = 0;
+  for (const Stall& stall : record.stalls) {
+    base::Millis from = std::max(stall.at, record.began_at);
+    base::Millis until = std::min(stall.at + stall.for_ms, record.ended_at);
+    double span_ms = static_cast<double>(std::max<base::Millis>(0, until - from));
+    lost_ms += stall.process.empty() ? span_ms * static_cast<double>(processes) : span_ms;
+  }
+  return std::max(0.0, 1 - lost_ms / (run_ms * static_cast<double>(processes)));
+}
+
 std::vector<Violation> CheckAll(const RecordData& record, const Bounds& bounds) {
   std::vector<Violation> all;
   for (const std::vector<Violation>& found :
--- a/tools/soak/checkers.h
+++ b/tools/soak/checkers.h
@@ -38,6 +38,9 @@
 // All of them.
 std::vector<Violation> CheckAll(const RecordData& record, const Bounds& bounds);
 
+// The share of the processes' time in the run that was judged: not lost to stalls.
+double JudgedShare(const RecordData& record, size_t processes);
+
 // What a server answers to a request, so that a foreign or spoilt answer shows.
 std::string SealOf(const std::string& attempt_id, const std::string& server);
 std::string BodyOf(const std::string& attempt_id);
--- a/tools/soak/fleet.cc
+++ b/tools/soak/fleet.cc
@@ -1,6 +1,7 @@
 #include "soak/fleet.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -71,7 +72,8 @@
        << "\nbounds.contact-ms=4000\nbounds.apply-ms=3000\nbounds.retry-ratio=0.2"
        << "\nbounds.retry-slack=100\nbounds.warmup-excess=1.5\nbounds.warmup-slack=8"
        << "\nplatform.rate-per-s=52\nplatform.max-lag-ms=800\nlimits.memory-mb=260"
-       << "\nlimits.max-fds=4100\nelderkeel.connect-ms=" << connect_ms << "\n";
+       << "\nlimits.max-fds=4100\nelderkeel.log-level=debug\nelderkeel.connect-ms=" << connect_ms
+       << "\n";
   if (controller) {
     file << "ip=" << control.ip << "\nlisteners.control=" << control.ToString()
          << "\nplatform.address=" << addresses_.PlatformOfControllers().ToString()
@@ -92,18 +94,21 @@
   WriteSettings(*process, process->starts == 0, kConnectMs[0]);
   ++process->starts;
   process->start_at = process->kill_at = process->thaw_at = -1;
-  process->waited_ms = 0;
   std::string program = options_.programs + (process->name[0] == 'c' ? "/controller" : "/proxy");
   std::string settings = folder_ + "/" + process->name + ".conf";
   std::string log = folder_ + "/" + process->name + ".log";
   process->pid = fork();
   if (process->pid == 0) {
+    // Ctrl-C ends the soak, which ends them in order; without it they don't go on.
+    setpgid(0, 0);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
     execl(program.c_str(), program.c_str(), "run", "--settings", settings.c_str(), nullptr);
     _exit(127);
   }
+  process->wait_meter = WaitMeter::OfProcess(process->pid);
   Note(Kind::kStart, process->name);
 }
 
@@ -163,19 +168,17 @@
   if (!stopping_) process->start_at = base::SteadyMillis() + kRestartMs;
 }
 
-// The kernel counts how long a thread was ready and had no processor.
 void Fleet::NoteStalls(base::Millis now) {
   if (now < next_stall_check_at_) return;
   next_stall_check_at_ = now + kStallCheckMs;
+  auto note = [&](const std::string& name, base::Millis waited_ms) {
+    if (waited_ms < StallWatch::kMinMs) return;
+    record_->Add(Stall{now - kStallCheckMs, kStallCheckMs, name, waited_ms});
+  };
   for (auto& [name, process] : processes_) {
-    if (process.pid < 0) continue;
-    std::ifstream file("/proc/" + std::to_string(process.pid) + "/schedstat");
-    int64_t ran_ns = 0, waited_ns = 0;
-    if (!(file >> ran_ns >> waited_ns)) continue;
-    base::Millis waited_ms = waited_ns / 1000000;
-    base::Millis more = waited_ms - std::exchange(process.waited_ms, waited_ms);
-    if (more >= StallWatch::kMinMs) record_->Add(Stall{now - kStallCheckMs, kStallCheckMs});
+    if (process.pid >= 0) note(name, process.wait_meter.TakeMs());
   }
+  note("", own_wait_meter_.TakeMs());
 }
 
 void Fleet::Poll() {
--- a/tools/soak/fleet.h
+++ b/tools/soak/fleet.h
@@ -9,6 +9,7 @@
 
 #include "soak/record.h"
 #include "soak/schedule.h"
+#include "soak/stall_watch.h"
 #include "soak/world.h"
 
 namespace elderkeel::soak {
@@ -27,6 +28,8 @@
   void Kill(const std::string& name);
   void Freeze(const std::string& name, base::Millis for_ms);
   void Reload(const std::string& name);
+  // A thread of the soak itself without which nothing can be judged.
+  void Watch(pid_t own_thread) { own_wait_meter_ = WaitMeter::OfOwnThread(own_thread); }
   // Takes in who has ended, and does what is due.
   void Poll();
   // Ends all of them, in order as far as they do so in their grace time.
@@ -43,7 +46,7 @@
     base::Millis start_at = -1;
     base::Millis thaw_at = -1;
     int starts = 0;
-    base::Millis waited_ms = 0;  // for a processor, since its start
+    WaitMeter wait_meter;
   };
 
   void Start(Process* process);
@@ -62,6 +65,7 @@
   bool stopping_ = false;
   int reloads_ = 0;
   base::Millis next_stall_check_at_ = 0;
+  WaitMeter own_wait_meter_;
 };
 
 }  // namespace elderkeel::soak
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -7,7 +7,9 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <filesystem>
+#include <fstream>
 
 #include "base/random.h"
 #include "soak/checkers.h"
@@ -20,13 +22,16 @@
 namespace elderkeel::soak {
 namespace {
 
-constexpr int kHeld = 0, kBroken = 1, kCouldNotRun = 2;
+constexpr int kHeld = 0, kBroken = 1, kCouldNotRun = 2, kProvesNothing = 3;
 constexpr base::Millis kStartMs = 30000;  // for the fleet to be ready
 constexpr base::Millis kCalmMs = 4500;    // before the traffic is judged
 constexpr base::Millis kPollMs = 10;
 constexpr base::Millis kProgressMs = 1000;
 constexpr int kRuns = 200;  // so many soaks may run beside each other
 
+// SIGINT or SIGTERM came: what was started is ended, and what was seen is reported.
+volatile std::sig_atomic_t interrupted = 0;
+
 void Sleep(base::Millis ms) { usleep(static_cast<useconds_t>(ms * 1000)); }
 
 void Play(const Event& event, Fleet* fleet, World* world) {
@@ -70,7 +75,7 @@
   auto next = schedule.begin();
   for (;;) {
     base::Millis elapsed = base::SteadyMillis() - begin;
-    if (elapsed >= options.seconds * 1000) break;
+    if (elapsed >= options.seconds * 1000 || interrupted) break;
     for (; next != schedule.end() && next->at <= elapsed; ++next) {
       Play(*next, fleet, world);
       if (next->kind == Event::Kind::kCutPlatform) heal_at = next->at + next->for_ms;
@@ -96,7 +101,7 @@
 bool WaitUntilReady(const Operator& changes, const Readiness& readiness, Fleet* fleet) {
   base::Millis give_up = base::SteadyMillis() + kStartMs;
   while (!changes.configured() || !readiness.AllReady()) {
-    if (base::SteadyMillis() > give_up) return false;
+    if (base::SteadyMillis() > give_up || interrupted) return false;
     fleet->Poll();
     Sleep(kPollMs);
   }
@@ -125,6 +130,7 @@
   World world(addresses, record);
   world.Start();
   Fleet fleet(options, addresses, folder, record);
+  fleet.Watch(world.thread_id());
   StallWatch stalls;
   fleet.StartAll();
   Readiness readiness(options, addresses);
@@ -136,6 +142,11 @@
   {
     Clients clients(options, addresses, readiness, record);
     PlayAll(options, schedule, &fleet, &world, *record);
+    clients.Stop();
+    while (!clients.ended()) {
+      fleet.Poll();
+      Sleep(kPollMs);
+    }
   }
   WaitUntilReady(changes, readiness, &fleet);
   data.revision_at_end = changes.ReadBack();
@@ -145,7 +156,23 @@
   return true;
 }
 
+// Why the soak can't run with these options; empty if it can.
+std::string Unusable(const Options& options) {
+  for (const char* program : {"/proxy", "/controller"}) {
+    std::string path = options.programs + program;
+    if (access(path.c_str(), X_OK) != 0) return path + " can't be executed";
+  }
+  if (options.report.empty()) return "";
+  std::ofstream report(options.report, std::ios::app);
+  return report ? "" : options.report + " can't be written";
+}
+
 int Soak(const Options& options, const std::string& command) {
+  if (std::string reason = Unusable(options); !reason.empty()) {
+    spdlog::error("step=options reason=\"{}\"", reason);
+    return kCouldNotRun;
+  }
+  for (int signal : {SIGINT, SIGTERM}) std::signal(signal, [](int) { interrupted = 1; });
   std::filesystem::path folder = std::filesystem::temp_directory_path() /
                                  ("elderkeel-soak-" + std::to_string(base::RandomSeed()));
   std::filesystem::create_directories(folder);
@@ -158,11 +185,12 @@
   }
   const RecordData& data = record.data();
   std::vector<Violation> violations = CheckAll(data, Bounds());
-  PrintTable(data, violations);
+  double judged = JudgedShare(data, static_cast<size_t>(options.controllers + options.proxies));
+  PrintTable(data, judged, violations);
   if (!options.report.empty()) WriteReport(options, command, schedule, data, violations);
   if (violations.empty()) {
     std::filesystem::remove_all(folder);
-    return kHeld;
+    return judged < kMinJudgedShare || interrupted ? kProvesNothing : kHeld;
   }
   std::printf("seed %llu; logs of the processes: %s\n",
               static_cast<unsigned long long>(options.seed), folder.c_str());
@@ -188,7 +216,10 @@
   app.add_option("--programs", options.programs, "Folder of proxy and controller")
       ->capture_default_str();
   app.add_option("--report", options.report, "File for a report in JSON");
-  app.footer("Exit codes: 0 all rules held; 1 a rule was broken; 2 the soak could not run.");
+  app.footer(
+      "Exit codes: 0 all rules held; 1 a rule was broken; 2 the soak could not run; 3 none was "
+      "broken, "
+      "but too little of the time was judged, or the run was interrupted.");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/tools/soak/record.h
+++ b/tools/soak/record.h
@@ -81,7 +81,7 @@
   std::vector<Disturbance> disturbances;
   std::vector<Change> changes;
   int64_t revision_at_end = -1;  // as read back; -1 for none
-  std::vector<Stall> stalls;     // of the machine itself
+  std::vector<Stall> stalls;
   base::Millis began_at = 0;
   base::Millis ended_at = 0;
 };
--- a/tools/soak/report.cc
+++ b/tools/soak/report.cc
@@ -30,12 +30,16 @@
   json.StartObject();
   text("command", command);
   number("seed", static_cast<int64_t>(options.seed));
+  // Moments of this report are since then, on the clock of `steady_ms` in the processes' logs.
+  number("began_at_steady_ms", data.began_at);
   json.Key("stalls");
   json.StartArray();
   for (const Stall& stall : data.stalls) {
     json.StartObject();
     number("at_ms", stall.at - data.began_at);
     number("for_ms", stall.for_ms);
+    text("process", stall.process.empty() ? "all" : stall.process);
+    number("waited_ms", stall.waited_ms);
     json.EndObject();
   }
   json.EndArray();
@@ -72,7 +76,7 @@
   json.EndObject();
 }
 
-void PrintTable(const RecordData& data, const std::vector<Violation>& violations) {
+void PrintTable(const RecordData& data, double judged, const std::vector<Violation>& violations) {
   std::map<std::string, size_t> broken = {{"LOST", 0},     {"TWICE", 0},   {"REFUSED", 0},
                                           {"MIXED", 0},    {"UNASKED", 0}, {"DRAIN", 0},
                                           {"FAILBACK", 0}, {"CONFIG", 0},  {"END", 0}};
@@ -96,10 +100,8 @@
       "latency of what was served, its work included: median %lld, 99%% %lld, 99.9%% %lld ms\n",
       static_cast<long long>(quantile(0.5)), static_cast<long long>(quantile(0.99)),
       static_cast<long long>(quantile(0.999)));
-  base::Millis longest = 0;
-  for (const Stall& stall : data.stalls) longest = std::max(longest, stall.for_ms);
-  std::printf("the machine stood still %zu times, %lld ms at most: not judged\n",
-              data.stalls.size(), static_cast<long long>(longest));
+  std::printf("judged: %.1f %% of the processes' time; no processor in %zu spans%s\n", 100 * judged,
+              data.stalls.size(), judged < kMinJudgedShare ? ": what held proves nothing" : "");
   for (const auto& [rule, count] : broken) {
     std::printf("%-9s %s\n", rule.c_str(),
                 count == 0 ? "held" : (std::to_string(count) + " broken").c_str());
--- a/tools/soak/stall_watch.cc
+++ b/tools/soak/stall_watch.cc
@@ -1,6 +1,8 @@
 #include "soak/stall_watch.h"
 
 #include <chrono>
+#include <fstream>
+#include <string>
 
 namespace elderkeel::soak {
 namespace {
@@ -27,8 +29,24 @@
     base::Millis late = base::SteadyMillis() - before - kSleepMs;
     std::lock_guard<std::mutex> lock(mutex_);
     if (stop_) return;
-    if (late >= kMinMs) stalls_.push_back({before, late});
+    if (late >= kMinMs) stalls_.push_back({before, late, "", late});
   }
 }
 
+WaitMeter WaitMeter::OfProcess(pid_t pid) {
+  return WaitMeter("/proc/" + std::to_string(pid) + "/schedstat");
+}
+
+WaitMeter WaitMeter::OfOwnThread(pid_t thread) {
+  return WaitMeter("/proc/self/task/" + std::to_string(thread) + "/schedstat");
+}
+
+base::Millis WaitMeter::TakeMs() {
+  std::ifstream file(path_);
+  int64_t ran_ns = 0, waited_ns = 0;
+  if (!(file >> ran_ns >> waited_ns)) return 0;
+  base::Millis waited_ms = waited_ns / 1000000;
+  return waited_ms - std::exchange(taken_ms_, waited_ms);
+}
+
 }  // namespace elderkeel::soak
--- a/tools/soak/traffic.cc
+++ b/tools/soak/traffic.cc
@@ -151,12 +151,16 @@
 
 Clients::Clients(const Options& options, const Addresses& addresses, const Readiness& readiness,
                  Record* record)
-    : options_(options), addresses_(addresses), readiness_(readiness), record_(record) {
+    : options_(options),
+      addresses_(addresses),
+      readiness_(readiness),
+      record_(record),
+      running_(options.clients) {
   for (int i = 0; i < options.clients; ++i) threads_.emplace_back([this, i] { Run(i); });
 }
 
 Clients::~Clients() {
-  stop_ = true;
+  Stop();
   for (std::thread& thread : threads_) thread.join();
 }
 
@@ -180,6 +184,7 @@
     if (!keep) connection.reset();
     if (refused) usleep(static_cast<useconds_t>(kRetryMs * 1000));
   }
+  --running_;
 }
 
 Operator::Operator(const Options& options, const Addresses& addresses, Record* record)
--- a/tools/soak/traffic.h
+++ b/tools/soak/traffic.h
@@ -38,6 +38,9 @@
   Clients(const Options& options, const Addresses& addresses, const Readiness& readiness,
           Record* record);
   ~Clients();
+  // Each client ends with its request under way.
+  void Stop() { stop_ = true; }
+  bool ended() const { return running_ == 0; }
 
  private:
   void Run(int number);
@@ -46,6 +49,7 @@
   const Readiness& readiness_;
   Record* record_;
   std::atomic<bool> stop_{false};
+  std::atomic<int> running_;
   std::vector<std::thread> threads_;
 };
 
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -69,6 +69,7 @@
 
 void World::Run() {
   base::Loop loop;
+  thread_id_ = gettid();
   loop_ = &loop;
   loop.Run();
   timers_.clear();
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -45,6 +45,8 @@
   void DrainOne(const std::string& zone);
   // The servers of the zone end, and cold ones take their places.
   void ReplaceZoneCold(const std::string& zone);
+  // Of the thread on which platform and servers run.
+  pid_t thread_id() const { return thread_id_; }
   // Controllers get no answers of the platform; those to the proxies are slow.
   void CutPlatform(bool cut);
 
@@ -63,6 +65,7 @@
   Addresses addresses_;
   Record* record_;
   std::thread thread_;
+  std::atomic<pid_t> thread_id_{0};  // known once loop_ is
   std::atomic<base::Loop*> loop_{nullptr};
   // On the thread of the loop from here on.
   std::map<std::string, std::shared_ptr<Server>> servers_;
