--- a/tests/soak/checkers_test.cc
+++ b/tests/soak/checkers_test.cc
@@ -3,7 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 #include "soak/schedule.h"
+#include "soak/server_faults.h"
 
 namespace elderkeel::soak {
 namespace {
@@ -241,6 +245,35 @@
   EXPECT_EQ(CheckProcesses(record_, bounds_).size(), 1u);
 }
 
+TEST_F(SoakCheckers, RouteIsBrokenByARunAtAnotherService) {
+  record_.runs.push_back(MakeRun("a", "i-1", 0));
+  record_.runs.back().service = "writing";
+  EXPECT_TRUE(CheckRoute(record_).empty());
+  record_.runs.back().service = "reading";
+  EXPECT_EQ(CheckRoute(record_).size(), 1u);
+  record_.runs.back().path = "/extra/work-5";
+  EXPECT_TRUE(CheckRoute(record_).empty());
+}
+
+// Spells differ by server and time, and every kind comes; most requests are served soundly.
+TEST(SoakServerFaults, ComeInSpellsByTheSeed) {
+  ServerFaults faults(1), again(1), other(2);
+  std::map<ServerFault, int> drawn;
+  int differ = 0;
+  for (base::Millis now = 0; now < 60000; now += 50) {
+    for (const char* server : {"i-1", "i-2", "i-3", "i-4"}) {
+      std::string attempt = "a-" + std::to_string(now);
+      ServerFault fault = faults.Draw(now, server, attempt);
+      EXPECT_EQ(fault, again.Draw(now, server, attempt));
+      differ += fault != other.Draw(now, server, attempt);
+      ++drawn[fault];
+    }
+  }
+  EXPECT_EQ(drawn.size(), 9u);
+  EXPECT_GT(differ, 0);
+  EXPECT_GT(drawn[ServerFault::kNone], 4000);
+}
+
 // An answer that was given just as the server ended may not have left it.
 TEST(SoakRecord, AServerThatEndsBreaksOffWhatItHasNotSent) {
   Record record;
--- a/tools/soak/checkers.cc
+++ b/tools/soak/checkers.cc
@@ -160,6 +160,20 @@
   return violations;
 }
 
+std::vector<Violation> CheckRoute(const RecordData& record) {
+  auto service_of = [](const std::string& path) {
+    return path.rfind("/write/", 0) == 0 ? "writing" : "reading";
+  };
+  std::vector<Violation> violations;
+  for (const ServerRun& run : record.runs) {
+    if (run.service == service_of(run.path)) continue;
+    violations.push_back(
+        {"ROUTE", run.began_at,
+         run.server + " of " + run.service + " ran " + run.path + " as " + run.attempt_id});
+  }
+  return violations;
+}
+
 std::vector<Violation> CheckDrain(const RecordData& record, const Bounds& bounds) {
   std::map<std::string, base::Millis> drains_at;
   for (const Disturbance& d : record.disturbances) {
@@ -295,8 +309,9 @@
   std::vector<Violation> all;
   for (const std::vector<Violation>& found :
        {CheckLost(record, bounds), CheckTwice(record), CheckRefused(record), CheckMixed(record),
-        CheckUnasked(record), CheckDrain(record, bounds), CheckSlowStart(record, bounds),
-        CheckConfiguration(record), CheckProcesses(record, bounds)}) {
+        CheckUnasked(record), CheckRoute(record), CheckDrain(record, bounds),
+        CheckSlowStart(record, bounds), CheckConfiguration(record),
+        CheckProcesses(record, bounds)}) {
     all.insert(all.end(), found.begin(), found.end());
   }
   return all;
--- a/tools/soak/checkers.h
+++ b/tools/soak/checkers.h
@@ -30,6 +30,7 @@
 std::vector<Violation> CheckRefused(const RecordData& record);
 std::vector<Violation> CheckMixed(const RecordData& record);
 std::vector<Violation> CheckUnasked(const RecordData& record);
+std::vector<Violation> CheckRoute(const RecordData& record);
 std::vector<Violation> CheckDrain(const RecordData& record, const Bounds& bounds);
 std::vector<Violation> CheckSlowStart(const RecordData& record, const Bounds& bounds);
 std::vector<Violation> CheckConfiguration(const RecordData& record);
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -127,7 +127,7 @@
   int run = ReserveRun();
   if (run < 0) return false;
   Addresses addresses(run);
-  World world(addresses, record);
+  World world(options, addresses, record);
   world.Start();
   Fleet fleet(options, addresses, folder, record);
   fleet.Watch(world.thread_id());
@@ -213,6 +213,9 @@
       ->capture_default_str();
   app.add_option("--proxies", options.proxies)->check(CLI::Range(2, 190))->capture_default_str();
   app.add_option("--clients", options.clients)->check(CLI::Range(1, 500))->capture_default_str();
+  app.add_flag(
+      "--unsound", options.unsound,
+      "Servers refuse, fail, cut, hang and garble in spells; their addresses are used again");
   app.add_option("--programs", options.programs, "Folder of proxy and controller")
       ->capture_default_str();
   app.add_option("--report", options.report, "File for a report in JSON");
--- a/tools/soak/record.h
+++ b/tools/soak/record.h
@@ -34,12 +34,14 @@
 struct ServerRun {
   std::string attempt_id = "";
   std::string server = "";
+  std::string service = "";
   std::string method = "";
   std::string path = "";
   base::Millis began_at = 0;
   base::Millis answered_at = -1;  // -1 for not
   base::Millis work_ends_at = 0;  // when its work would end
-  bool server_broke_off = false;  // the server itself ended before
+  bool server_broke_off = false;  // the server itself ended before, or gave no whole answer
+  std::string fault = "";         // of an unsound server
 };
 
 // Trouble, planned work and changes.
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -17,6 +17,9 @@
 constexpr base::Millis kSlowMs = 900;        // of an answer of the platform while it is slow
 constexpr base::Millis kSlowAfterMs = 2000;  // the end of a cut it is slow for so long
 constexpr base::Millis kListedOnMs = 300;    // of a server that is gone
+constexpr base::Millis kReuseMs = 2000;      // after a server's end, of its address
+constexpr base::Millis kSlowMoreMs = 600;    // that a slow server takes
+constexpr base::Millis kCutAfterMs = 20;     // an answer's begin that is cut
 
 wire::Message Plain(int status, const std::string& body) {
   wire::Message answer;
@@ -56,7 +59,12 @@
   return "127.1." + std::to_string(run) + "." + std::to_string(number);
 }
 
-World::World(const Addresses& addresses, Record* record) : addresses_(addresses), record_(record) {
+World::World(const Options& options, const Addresses& addresses, Record* record)
+    : addresses_(addresses),
+      record_(record),
+      unsound_(options.unsound),
+      faults_(options.seed),
+      began_at_(base::SteadyMillis()) {
   thread_ = std::thread([this] { Run(); });
   while (!loop_) usleep(1000);
 }
@@ -150,7 +158,7 @@
   server->id = "i-" + std::to_string(number);
   server->service = service;
   server->zone = zone;
-  server->address = addresses_.Server(number);
+  server->address = TakeAddress(service);
   std::weak_ptr<Server> weak = server;
   server->http = std::make_unique<wire::HttpServer>(
       loop_, ServerOptions(),
@@ -175,6 +183,7 @@
   record_->Add(Disturbance{Disturbance::Kind::kServerGone, id, now, ""});
   found->second->listening = false;
   found->second->http.reset();
+  free_addresses_.push_back({found->second->address, found->second->service, now + kReuseMs});
   After(kListedOnMs, [this, id] { servers_.erase(id); });
 }
 
@@ -192,31 +201,94 @@
   const std::string* attempt = request.Find("Elderkeel-Attempt-Id");
   const std::string* expected = request.Find("Elderkeel-Expected-Server");
   bool misplaced = !attempt || (expected && *expected != server->id);
-  wire::Message answer = Plain(misplaced ? 421 : 200, attempt ? BodyOf(*attempt) : "");
-  if (attempt) answer.headers.push_back({"Elderkeel-Attempt-Id", *attempt});
   if (misplaced) {
+    wire::Message answer = Plain(421, "");
+    if (attempt) answer.headers.push_back({"Elderkeel-Attempt-Id", *attempt});
     server->http->Answer(ticket, answer);
     return;
   }
-  answer.headers.push_back({"Elderkeel-Server-Seal", SealOf(*attempt, server->id)});
+  ServerFault fault = ServerFault::kNone;
+  if (unsound_) fault = faults_.Draw(now - began_at_, server->id, *attempt);
+  if (fault == ServerFault::kTurnsAway) {
+    wire::Message answer = Plain(503, "");
+    answer.headers.push_back({"Elderkeel-Attempt-Id", *attempt});
+    answer.headers.push_back({"Elderkeel-Not-Executed", "1"});
+    server->http->Answer(ticket, answer);
+    return;
+  }
+  RunRequest(server, ticket, request, fault);
+}
+
+void World::RunRequest(const std::shared_ptr<Server>& server, wire::HttpServer::Ticket ticket,
+                       const wire::Message& request, ServerFault fault) {
+  base::Millis now = base::SteadyMillis();
   base::Millis work = WorkMs(request.Path());
+  if (fault == ServerFault::kSlow) work += kSlowMoreMs;
   ServerRun run;
-  run.attempt_id = *attempt;
+  run.attempt_id = *request.Find("Elderkeel-Attempt-Id");
   run.server = server->id;
+  run.service = server->service;
   run.method = request.method;
   run.path = request.target;
   run.began_at = now;
   run.work_ends_at = now + work;
+  run.server_broke_off = BreaksOff(fault);
+  run.fault = FaultName(fault);
   size_t number = record_->Add(run);
+  if (fault == ServerFault::kHangs) return;
   std::weak_ptr<Server> weak = server;
-  After(work, [this, weak, number, ticket, answer] {
+  After(work, [this, weak, number, ticket, fault, attempt_id = run.attempt_id] {
     auto still = weak.lock();
     if (!still || !still->http) return;
-    still->http->Answer(ticket, answer);
-    record_->OnAnswered(number, base::SteadyMillis());
+    GiveAnswer(still.get(), ticket, attempt_id, fault);
+    if (!BreaksOff(fault)) record_->OnAnswered(number, base::SteadyMillis());
+  });
+}
+
+void World::GiveAnswer(Server* server, wire::HttpServer::Ticket ticket,
+                       const std::string& attempt_id, ServerFault fault) {
+  if (fault == ServerFault::kCutsBefore) {
+    server->http->Reset(ticket);
+    return;
+  }
+  bool other = fault == ServerFault::kAnswersOther;
+  std::string id = other ? "x" + attempt_id : attempt_id;
+  wire::Message answer = Plain(fault == ServerFault::kOwnFailure ? 500 : 200, BodyOf(id));
+  answer.headers.push_back({"Elderkeel-Attempt-Id", id});
+  answer.headers.push_back({"Elderkeel-Server-Seal", SealOf(id, server->id)});
+  if (fault == ServerFault::kAnswersTwice) {
+    std::string again = "HTTP/1.1 200 OK\r\nElderkeel-Attempt-Id: " + id +
+                        "\r\nElderkeel-Server-Seal: " + SealOf(id, server->id) +
+                        "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n" +
+                        answer.body;
+    server->http->BeginAnswer(ticket, answer, static_cast<int64_t>(answer.body.size()));
+    server->http->WriteBody(ticket, answer.body + again);
+    server->http->EndAnswer(ticket);
+    return;
+  }
+  if (fault != ServerFault::kCutsMidway) {
+    server->http->Answer(ticket, answer);
+    return;
+  }
+  server->http->BeginAnswer(ticket, answer, static_cast<int64_t>(answer.body.size()));
+  server->http->WriteBody(ticket, answer.body.substr(0, answer.body.size() / 2));
+  After(kCutAfterMs, [this, ticket, id = server->id] {
+    auto found = servers_.find(id);
+    if (found != servers_.end() && found->second->http) found->second->http->Reset(ticket);
   });
 }
 
+base::Address World::TakeAddress(const std::string& service) {
+  base::Millis now = base::SteadyMillis();
+  for (auto free = free_addresses_.begin(); unsound_ && free != free_addresses_.end(); ++free) {
+    if (free->service == service || free->free_at > now) continue;
+    base::Address address = free->address;
+    free_addresses_.erase(free);
+    return address;
+  }
+  return addresses_.Server(next_address_++);
+}
+
 void World::DrainOne(const std::string& zone) {
   Post([this, zone] {
     auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& id_and_server) {
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -10,6 +11,8 @@
 #include "base/loop.h"
 #include "base/settings.h"
 #include "soak/record.h"
+#include "soak/schedule.h"
+#include "soak/server_faults.h"
 #include "wire/http_server.h"
 
 namespace elderkeel::soak {
@@ -36,7 +39,7 @@
 // that a request's path asks for, and drop nothing.
 class World {
  public:
-  World(const Addresses& addresses, Record* record);
+  World(const Options& options, const Addresses& addresses, Record* record);
   ~World();
 
   // Begins with some sound servers of each service in each zone.
@@ -60,6 +63,13 @@
   wire::Message ListPage(const wire::Message& request) const;
   void OnRequest(const std::shared_ptr<Server>& server, wire::HttpServer::Ticket ticket,
                  const wire::Message& request);
+  // Notes the run, and answers when its work is done, as the fault says.
+  void RunRequest(const std::shared_ptr<Server>& server, wire::HttpServer::Ticket ticket,
+                  const wire::Message& request, ServerFault fault);
+  void GiveAnswer(Server* server, wire::HttpServer::Ticket ticket, const std::string& attempt_id,
+                  ServerFault fault);
+  // A new one or, where servers are unsound, at times that of an ended server of another service.
+  base::Address TakeAddress(const std::string& service);
   void After(base::Millis wait, std::function<void()> work);
 
   Addresses addresses_;
@@ -73,6 +83,17 @@
   std::map<uint64_t, std::unique_ptr<base::Timer>> timers_;
   uint64_t next_timer_ = 1;
   int next_server_ = 0;
+  int next_address_ = 0;
+  const bool unsound_;
+  const ServerFaults faults_;
+  base::Millis began_at_ = 0;
+  // Of servers that have ended, the oldest first.
+  struct FreeAddress {
+    base::Address address;
+    std::string service;
+    base::Millis free_at;
+  };
+  std::deque<FreeAddress> free_addresses_;
   bool cut_ = false;
   base::Millis slow_until_ = 0;
 };
