Soak: clients that leave early or let connections rest; GONE, DENIED, kept connections

Cause: every client waited for its answer on a busy connection, so that three rules were never tempted.

Servers note when a connection is closed on their work. Checkers for GONE, DENIED and LOST of kept connections, each with a record that breaks it and one that just doesn't.

Not played yet: pipelining, streams, long or cut bodies, slow readers (docs/soak.md).

--- a/tests/soak/checkers_test.cc
+++ b/tests/soak/checkers_test.cc
@@ -255,6 +255,64 @@
   EXPECT_TRUE(CheckRoute(record_).empty());
 }
 
+TEST_F(SoakCheckers, KeptConnectionsMayBeClosedThreeTimes) {
+  auto closed = [&](int times) {
+    record_.requests.clear();
+    record_.runs.clear();
+    for (int i = 0; i < times; ++i) {
+      std::string id = "kept-" + std::to_string(i);
+      record_.requests.push_back(MakeRequest(id, 0));
+      record_.requests.back().kept = record_.requests.back().any_byte_sent = true;
+      record_.requests.back().ended_at = kTerm + 50;
+      record_.requests.back().deadline = kTerm + 3000;
+      record_.runs.push_back(MakeRun(id, "i-1", 5));
+    }
+    return CheckKeptConnections(record_, bounds_).size();
+  };
+  EXPECT_EQ(closed(3), 0u);
+  EXPECT_EQ(closed(4), 1u);
+  record_.runs[0].server_broke_off = true;
+  EXPECT_EQ(CheckKeptConnections(record_, bounds_).size(), 0u);
+  Disturb(Kind::kTerminate, "p1", -3000);  // not in touch
+  EXPECT_EQ(closed(4), 0u);
+}
+
+TEST_F(SoakCheckers, GoneIsWhatReachesOrKeepsServersLongAfterAClientLeft) {
+  for (int i = 0; i < 4; ++i) {
+    std::string id = "gone-" + std::to_string(i);
+    record_.requests.push_back(MakeRequest(id, 0));
+    record_.requests.back().effectful = false;
+    record_.requests.back().ended_at = record_.requests.back().left_at = kTerm + 100;
+    record_.runs.push_back(MakeRun(id, "i-1", 5));
+    record_.runs.back().work_ends_at = kTerm + 601;
+    record_.runs.back().dropped_at = kTerm + 600;
+  }
+  EXPECT_TRUE(CheckGone(record_, bounds_).empty());
+  record_.runs[0].dropped_at = kTerm + 601;  // a quarter
+  EXPECT_TRUE(CheckGone(record_, bounds_).empty());
+  record_.runs[1].dropped_at = -1;
+  EXPECT_EQ(CheckGone(record_, bounds_).size(), 1u);
+  record_.runs[1].work_ends_at = kTerm + 600;  // would not have lasted so long
+  record_.runs[0].dropped_at = kTerm + 600;
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(CheckGone(record_, bounds_).empty());
+    record_.runs[static_cast<size_t>(i)].began_at = kTerm + 601;
+  }
+  EXPECT_EQ(CheckGone(record_, bounds_).size(), 1u);  // four came late
+}
+
+TEST_F(SoakCheckers, DeniedIsMoreThanFiveAndOneInFiveHundred) {
+  for (int i = 0; i < 500; ++i) {
+    record_.requests.push_back(MakeRequest("denied-" + std::to_string(i), 0));
+    record_.requests.back().status = i < 6 ? 404 : 429;
+  }
+  EXPECT_TRUE(CheckDenied(record_, bounds_).empty());
+  record_.requests[6].status = 400;
+  EXPECT_EQ(CheckDenied(record_, bounds_).size(), 1u);
+  record_.requests[6].seal = "the server's own";
+  EXPECT_TRUE(CheckDenied(record_, bounds_).empty());
+}
+
 // Spells differ by server and time, and every kind comes; most requests are served soundly.
 TEST(SoakServerFaults, ComeInSpellsByTheSeed) {
   ServerFaults faults(1), again(1), other(2);
--- a/tools/soak/checkers.cc
+++ b/tools/soak/checkers.cc
@@ -15,6 +15,12 @@
 constexpr base::Millis kAfterGraceMs = 1000;           // so long a SIGTERM counts as planned work
 constexpr base::Millis kDeadlineSlackMs = 100;  // an answer at the deadline may come so much sooner
 
+constexpr base::Millis kNoticeGoneMs = 500;  // after a client has left
+constexpr size_t kLateAfterGoneAllowed = 3;  // requests: "a few"
+constexpr size_t kKeptClosedAllowed = 3;     // connections
+constexpr size_t kDeniedAllowed = 5;         // requests, and one in so many more
+constexpr size_t kOneInDeniedAllowed = 500;
+
 RunsByAttempt IndexRuns(const RecordData& record) {
   RunsByAttempt runs;
   for (const ServerRun& run : record.runs) runs.emplace(run.attempt_id, &run);
@@ -49,6 +55,18 @@
          IsUnplanned(d.kind);
 }
 
+// Whether nothing befell the process, or the whole fleet unplanned, from `contact-ms` before the
+// first moment to the last.
+bool InTouch(const RecordData& record, const Bounds& bounds, const std::string& process,
+             base::Millis first, base::Millis last) {
+  base::Millis from = first - bounds.contact_ms;
+  bool disturbed = std::any_of(
+      record.disturbances.begin(), record.disturbances.end(), [&](const Disturbance& d) {
+        return d.target == process && DisturbsProcess(d) && d.at >= from && d.at <= last;
+      });
+  return !disturbed && !AnyUnplanned(record, from, last, process);
+}
+
 bool IsServed(const Request& request) { return !request.seal.empty(); }
 
 // The SIGTERM of the request's proxy around which the request ended; null if none.
@@ -78,7 +96,7 @@
   RunsByAttempt runs = IndexRuns(record);
   for (const Request& request : record.requests) {
     auto [first, last] = runs.equal_range(request.attempt_id);
-    if (IsServed(request) || first == last) continue;
+    if (IsServed(request) || first == last || request.left_at >= 0) continue;
     const Disturbance* term = TerminationAround(record, bounds, request);
     if (!term) continue;
     base::Millis calm_from = request.sent_at - bounds.contact_ms;
@@ -103,6 +121,79 @@
   return violations;
 }
 
+std::vector<Violation> CheckKeptConnections(const RecordData& record, const Bounds& bounds) {
+  RunsByAttempt runs = IndexRuns(record);
+  size_t closed = 0;
+  const Request* last = nullptr;
+  for (const Request& request : record.requests) {
+    bool cut = request.kept && request.status == 0 && request.any_byte_sent;
+    bool in_time = request.ended_at < request.deadline - kDeadlineSlackMs;
+    if (!cut || !in_time || request.left_at >= 0) continue;
+    auto [first, end] = runs.equal_range(request.attempt_id);
+    bool sound = first != end && std::none_of(first, end, [](const auto& run) {
+                   return run.second->server_broke_off;
+                 });
+    if (!sound || !InTouch(record, bounds, request.proxy, request.sent_at, request.ended_at)) {
+      continue;
+    }
+    ++closed;
+    last = &request;
+  }
+  if (closed <= kKeptClosedAllowed) return {};
+  return {{"LOST", last->ended_at,
+           std::to_string(closed) +
+               " kept connections were closed without an answer to what was "
+               "passed on, the last with " +
+               last->attempt_id}};
+}
+
+std::vector<Violation> CheckGone(const RecordData& record, const Bounds& bounds) {
+  RunsByAttempt runs = IndexRuns(record);
+  size_t late = 0, long_ones = 0, still_at_work = 0;
+  base::Millis at = 0;
+  for (const Request& request : record.requests) {
+    if (request.left_at < 0) continue;
+    base::Millis noticed = request.left_at + kNoticeGoneMs;
+    if (!InTouch(record, bounds, request.proxy, request.sent_at, noticed)) continue;
+    auto [first, last] = runs.equal_range(request.attempt_id);
+    for (auto run = first; run != last; ++run) {
+      late += run->second->began_at > noticed;
+      if (request.effectful || run->second->work_ends_at <= noticed) continue;
+      ++long_ones;
+      bool dropped = run->second->dropped_at >= 0 && run->second->dropped_at <= noticed;
+      still_at_work += !dropped && !run->second->server_broke_off;
+      at = request.left_at;
+    }
+  }
+  std::vector<Violation> violations;
+  if (late > kLateAfterGoneAllowed) {
+    violations.push_back({"GONE", at, std::to_string(late) + " reached a server late"});
+  }
+  if (still_at_work * 4 > long_ones) {
+    violations.push_back({"GONE", at,
+                          "servers were still at work on " + std::to_string(still_at_work) +
+                              " of " + std::to_string(long_ones)});
+  }
+  return violations;
+}
+
+std::vector<Violation> CheckDenied(const RecordData& record, const Bounds& bounds) {
+  const std::set<int> promises = {408, 421, 429};
+  size_t denied = 0;
+  const Request* last = nullptr;
+  for (const Request& request : record.requests) {
+    bool own = request.seal.empty() && request.status >= 300 && request.status < 500;
+    if (!own || promises.count(request.status) > 0) continue;
+    if (!InTouch(record, bounds, request.proxy, request.sent_at, request.ended_at)) continue;
+    ++denied;
+    last = &request;
+  }
+  if (denied <= kDeniedAllowed + record.requests.size() / kOneInDeniedAllowed) return {};
+  return {{"DENIED", last->ended_at,
+           std::to_string(denied) + " proper requests were denied, the last with " +
+               std::to_string(last->status)}};
+}
+
 std::vector<Violation> CheckTwice(const RecordData& record) {
   std::vector<Violation> violations;
   RunsByAttempt runs = IndexRuns(record);
@@ -308,7 +399,8 @@
 std::vector<Violation> CheckAll(const RecordData& record, const Bounds& bounds) {
   std::vector<Violation> all;
   for (const std::vector<Violation>& found :
-       {CheckLost(record, bounds), CheckTwice(record), CheckRefused(record), CheckMixed(record),
+       {CheckLost(record, bounds), CheckKeptConnections(record, bounds), CheckGone(record, bounds),
+        CheckDenied(record, bounds), CheckTwice(record), CheckRefused(record), CheckMixed(record),
         CheckUnasked(record), CheckRoute(record), CheckDrain(record, bounds),
         CheckSlowStart(record, bounds), CheckConfiguration(record),
         CheckProcesses(record, bounds)}) {
--- a/tools/soak/checkers.h
+++ b/tools/soak/checkers.h
@@ -26,6 +26,10 @@
 // Each checker judges one rule over a whole record, with the excuses of the rule's wording. Pure.
 // docs/soak.md names the sentences.
 std::vector<Violation> CheckLost(const RecordData& record, const Bounds& bounds);
+// Of connections that are kept, at any time.
+std::vector<Violation> CheckKeptConnections(const RecordData& record, const Bounds& bounds);
+std::vector<Violation> CheckGone(const RecordData& record, const Bounds& bounds);
+std::vector<Violation> CheckDenied(const RecordData& record, const Bounds& bounds);
 std::vector<Violation> CheckTwice(const RecordData& record);
 std::vector<Violation> CheckRefused(const RecordData& record);
 std::vector<Violation> CheckMixed(const RecordData& record);
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -213,6 +213,8 @@
       ->capture_default_str();
   app.add_option("--proxies", options.proxies)->check(CLI::Range(2, 190))->capture_default_str();
   app.add_option("--clients", options.clients)->check(CLI::Range(1, 500))->capture_default_str();
+  app.add_flag("--varied", options.varied,
+               "Of four clients one leaves early at times, and one lets its connection rest");
   app.add_flag(
       "--unsound", options.unsound,
       "Servers refuse, fail, cut, hang and garble in spells; their addresses are used again");
--- a/tools/soak/record.h
+++ b/tools/soak/record.h
@@ -23,6 +23,8 @@
   base::Millis sent_at = 0;
   base::Millis deadline = 0;
   base::Millis ended_at = 0;
+  base::Millis left_at = -1;  // the client closed its connection before the answer; -1 for not
+  bool kept = false;          // on a connection that had served a request before
   bool any_byte_sent = false;
   int status = 0;         // 0 where no whole answer came
   std::string seal = "";  // of the answer
@@ -39,6 +41,7 @@
   std::string path = "";
   base::Millis began_at = 0;
   base::Millis answered_at = -1;  // -1 for not
+  base::Millis dropped_at = -1;   // its connection was closed before the answer; -1 for not
   base::Millis work_ends_at = 0;  // when its work would end
   bool server_broke_off = false;  // the server itself ended before, or gave no whole answer
   std::string fault = "";         // of an unsound server
@@ -105,6 +108,10 @@
     std::lock_guard<std::mutex> lock(mutex_);
     data_.runs[run].answered_at = now;
   }
+  void OnDropped(size_t run, base::Millis now) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    data_.runs[run].dropped_at = now;
+  }
   void Add(Disturbance disturbance) {
     std::lock_guard<std::mutex> lock(mutex_);
     data_.disturbances.push_back(std::move(disturbance));
--- a/tools/soak/report.cc
+++ b/tools/soak/report.cc
@@ -78,8 +78,8 @@
 
 void PrintTable(const RecordData& data, double judged, const std::vector<Violation>& violations) {
   std::map<std::string, size_t> broken = {
-      {"LOST", 0},  {"TWICE", 0}, {"REFUSED", 0},  {"MIXED", 0},  {"UNASKED", 0},
-      {"ROUTE", 0}, {"DRAIN", 0}, {"FAILBACK", 0}, {"CONFIG", 0}, {"END", 0}};
+      {"LOST", 0}, {"TWICE", 0},  {"REFUSED", 0}, {"MIXED", 0},    {"UNASKED", 0}, {"ROUTE", 0},
+      {"GONE", 0}, {"DENIED", 0}, {"DRAIN", 0},   {"FAILBACK", 0}, {"CONFIG", 0},  {"END", 0}};
   for (const Violation& violation : violations) ++broken[violation.rule];
   std::vector<base::Millis> latencies;
   for (const Request& request : data.requests) {
--- a/tools/soak/schedule.h
+++ b/tools/soak/schedule.h
@@ -14,6 +14,7 @@
   int controllers = 3;
   int proxies = 8;
   int clients = 64;
+  bool varied = false;              // clients: some leave early, some use connections that rested
   bool unsound = false;             // servers, in spells; addresses are used again
   std::string programs = "target";  // the folder of the programs
   std::string report = "";          // a file; empty for none
--- a/tools/soak/traffic.cc
+++ b/tools/soak/traffic.cc
@@ -20,6 +20,24 @@
 constexpr int kCallTries = 60;
 constexpr uint64_t kOneInSlow = 8;  // requests
 
+constexpr uint64_t kOneInLeaves = 4;            // requests of a client that leaves early
+constexpr base::Millis kMaxLeaveMs = 300;       // after the request was sent
+constexpr uint64_t kOneInRests = 16;            // requests before which a connection rests
+constexpr base::Millis kIdleTimeoutMs = 15000;  // of the configuration
+constexpr base::Millis kRestStepMs = 20;
+
+enum class Behaviour { kPlain, kLeaves, kRests };
+
+Behaviour BehaviourOf(int client) {
+  int kind = client / 2 % 4;  // its zone follows from whether it is odd
+  if (kind == 2) return Behaviour::kLeaves;
+  return kind == 3 ? Behaviour::kRests : Behaviour::kPlain;
+}
+
+base::Millis Draw(base::Random* random, base::Millis most) {
+  return 1 + static_cast<base::Millis>(random->Below(static_cast<uint64_t>(most)));
+}
+
 struct CallResult {
   int status = 0;  // 0: no whole answer
   wire::Message answer;
@@ -67,8 +85,10 @@
   if (seal) request->seal = *seal;
 }
 
-// Sends the request and waits for its answer or its deadline. True if the connection can be kept.
-bool Exchange(base::Loop* loop, wire::HttpConnection* connection, Request* request) {
+// Sends the request and waits for its answer or its deadline, or until the client leaves after
+// `leave_after`, if that is not negative. True if the connection can be kept.
+bool Exchange(base::Loop* loop, wire::HttpConnection* connection, base::Millis leave_after,
+              Request* request) {
   request->sent_at = base::SteadyMillis();
   request->deadline = request->sent_at + kDeadlineMs;
   bool done = false;
@@ -78,12 +98,14 @@
     keep = outcome.ending == wire::HttpConnection::Ending::kAnswer && outcome.answer.keep_alive;
     TakeOutcome(std::move(outcome), request);
   });
-  base::Timer deadline;
-  deadline.Start(loop, kDeadlineMs + kRetryMs, [] {});
-  while (!done && base::SteadyMillis() < request->deadline + kRetryMs) {
+  base::Millis wait = leave_after < 0 ? kDeadlineMs + kRetryMs : leave_after;
+  base::Timer give_up;
+  give_up.Start(loop, wait, [] {});
+  while (!done && base::SteadyMillis() < request->sent_at + wait) {
     event_base_loop(loop->base(), EVLOOP_ONCE);
   }
   request->ended_at = base::SteadyMillis();
+  if (!done && leave_after >= 0) request->left_at = request->ended_at;
   return done && keep;
 }
 
@@ -168,7 +190,9 @@
   base::Random random(options_.seed * 1000 + static_cast<uint64_t>(number));
   base::Loop loop;
   std::unique_ptr<wire::HttpConnection> connection;
+  Behaviour behaviour = options_.varied ? BehaviourOf(number) : Behaviour::kPlain;
   int proxy = 0;
+  int served = 0;  // on this connection
   for (int count = 0; !stop_; ++count) {
     if (!connection || !connection->Usable()) {
       proxy = readiness_.Choose(number % 2, random.Next());
@@ -178,15 +202,28 @@
     Request request = MakeRequest(&random);
     request.attempt_id = "a" + std::to_string(number) + "-" + std::to_string(count);
     request.proxy = "p" + std::to_string(proxy);
-    bool keep = Exchange(&loop, connection.get(), &request);
+    bool leaves = behaviour == Behaviour::kLeaves && random.Below(kOneInLeaves) == 0;
+    base::Millis leave_after = leaves ? Draw(&random, kMaxLeaveMs) : -1;
+    request.kept = served > 0;
+    bool keep = Exchange(&loop, connection.get(), leave_after, &request);
+    served = keep ? served + 1 : 0;
     bool refused = request.status == 503 || !request.any_byte_sent;
     record_->Add(std::move(request));
     if (!keep) connection.reset();
     if (refused) usleep(static_cast<useconds_t>(kRetryMs * 1000));
+    if (behaviour == Behaviour::kRests && random.Below(kOneInRests) == 0) {
+      Rest(Draw(&random, kIdleTimeoutMs * 4 / 5));
+    }
   }
   --running_;
 }
 
+void Clients::Rest(base::Millis span) const {
+  base::Millis until = base::SteadyMillis() + span;
+  while (!stop_ && base::SteadyMillis() < until)
+    usleep(static_cast<useconds_t>(kRestStepMs * 1000));
+}
+
 Operator::Operator(const Options& options, const Addresses& addresses, Record* record)
     : options_(options), addresses_(addresses), record_(record), thread_([this] { Run(); }) {}
 
@@ -214,7 +251,7 @@
   return R"({"revision":)" + std::to_string(revision) + R"(,"route-list":[)" + routes +
          R"(],"service-list":[)" + service("reading") + "," + service("writing") +
          R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":1048576,)" +
-         R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+         R"("header-timeout-ms":3000,"idle-timeout-ms":)" + std::to_string(kIdleTimeoutMs) + "}}";
 }
 
 int Operator::Send(const std::string& method, int64_t base, const std::string& body,
--- a/tools/soak/traffic.h
+++ b/tools/soak/traffic.h
@@ -32,7 +32,9 @@
 };
 
 // Clients, each on a thread of its own: one request after the other, on a connection that is kept
-// until the proxy closes it. One request in eight takes its server 0.3 to 2.2 s.
+// until the proxy closes it. One request in eight takes its server 0.3 to 2.2 s. If clients vary,
+// one of four leaves within 0.3 s from one request in four, and one of four lets its connection
+// rest, up to four fifths of the idle time-out, before one request in sixteen.
 class Clients {
  public:
   Clients(const Options& options, const Addresses& addresses, const Readiness& readiness,
@@ -44,6 +46,8 @@
 
  private:
   void Run(int number);
+  // Waits, or until all are to stop.
+  void Rest(base::Millis span) const;
   const Options& options_;
   const Addresses& addresses_;
   const Readiness& readiness_;
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -50,6 +50,7 @@
   bool listening = true;
   base::Millis warm_at = 0;
   std::unique_ptr<wire::HttpServer> http;
+  std::map<wire::HttpServer::Ticket, size_t> runs;  // under way, by their numbers in the record
 };
 
 Addresses::Addresses(int run)
@@ -165,6 +166,12 @@
       [this, weak](wire::HttpServer::Ticket ticket, wire::Message&& request) {
         if (auto server = weak.lock()) OnRequest(server, ticket, request);
       });
+  server->http->OnGone([this, weak](wire::HttpServer::Ticket ticket) {
+    auto server = weak.lock();
+    if (!server || server->runs.count(ticket) == 0) return;
+    record_->OnDropped(server->runs[ticket], base::SteadyMillis());
+    server->runs.erase(ticket);
+  });
   server->http->Listen(server->address);
   if (cold_ms > 0) {
     base::Millis now = base::SteadyMillis();
@@ -235,11 +242,13 @@
   run.server_broke_off = BreaksOff(fault);
   run.fault = FaultName(fault);
   size_t number = record_->Add(run);
+  server->runs[ticket] = number;
   if (fault == ServerFault::kHangs) return;
   std::weak_ptr<Server> weak = server;
   After(work, [this, weak, number, ticket, fault, attempt_id = run.attempt_id] {
     auto still = weak.lock();
     if (!still || !still->http) return;
+    still->runs.erase(ticket);
     GiveAnswer(still.get(), ticket, attempt_id, fault);
     if (!BreaksOff(fault)) record_->OnAnswered(number, base::SteadyMillis());
   });
