Bodies count in the bound on memory until their requests are answered

Callers could see: a proxy killed by the platform for its memory, with all requests in it, while clients upload faster than servers take it.

Cause: a body left the sum of buffered bytes as soon as its request was whole, however long that then waited for a server.

Change: the sum holds a body until its request is answered or its client is gone; what goes beyond it gets 503 with Retry-After.

--- a/src/wire/http_server.cc
+++ b/src/wire/http_server.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <deque>
+#include <utility>
 #include <vector>
 
 #include "base/log.h"
@@ -30,7 +31,8 @@
   std::unique_ptr<Message> answer;  // held whole until its turn
   enum class Stream { kNone, kOpen, kEnded } stream = Stream::kNone;
   bool chunks = false;
-  EvbufferPtr buffered;  // of a streamed answer, until its turn
+  EvbufferPtr buffered;   // of a streamed answer, until its turn
+  size_t body_bytes = 0;  // of the request, in the server's sum until the answer's turn
 };
 
 struct HttpServer::Connection {
@@ -44,12 +46,13 @@
   enum class Clock { kNone, kIdle, kHeader, kBody } clock = Clock::kNone;
   std::deque<Slot> slots;            // in the order of the requests; the first may be written
   std::unique_ptr<Message> waiting;  // read, but not to be begun before all slots are answered
+  size_t waiting_bytes = 0;          // of its body, in the server's sum
   bool no_more = false;              // nothing behind what was read so far will be taken
   bool closing = false;              // to be closed once what was written is sent
   bool lingering = false;
   bool advancing = false;
   bool continued = false;
-  size_t counted = 0;  // bytes of this connection's body in the server's sum
+  size_t counted = 0;  // bytes of the body being read, in the server's sum
 };
 
 HttpServer::HttpServer(base::Loop* loop, Options options, Handler handler)
@@ -149,7 +152,7 @@
     if (c->waiting) {
       if (!c->slots.empty()) break;
       std::unique_ptr<Message> request = std::move(c->waiting);
-      Begin(c, std::move(*request));
+      Begin(c, std::move(*request), std::exchange(c->waiting_bytes, 0));
       continue;
     }
     if (c->slots.size() >= options_.pipeline) break;
@@ -175,11 +178,11 @@
     Refuse(c, c->reader.bad_status(), c->reader.bad_reason());
     return false;
   }
+  if (c->counted > 0 && buffered_ > options_.max_buffered_bytes) {
+    Refuse(c, 503, "no memory for another body");
+    return false;
+  }
   if (progress == MessageReader::Progress::kMore) {
-    if (buffered_ > options_.max_buffered_bytes) {
-      Refuse(c, 503, "no memory for another body");
-      return false;
-    }
     // In between the answers of others an interim answer would be taken for one of them.
     if (c->reader.wants_continue() && !c->continued && c->slots.empty()) {
       c->continued = true;
@@ -194,21 +197,22 @@
   Message request = c->reader.Take();
   c->reader.Reset();
   c->continued = false;
-  buffered_ -= c->counted;
-  c->counted = 0;
+  size_t body_bytes = std::exchange(c->counted, 0);
   if (!request.keep_alive) c->no_more = true;
   if (!c->slots.empty() &&
       !(options_.may_run_out_of_order && options_.may_run_out_of_order(request))) {
     c->waiting = std::make_unique<Message>(std::move(request));
+    c->waiting_bytes = body_bytes;
     c->no_more = false;  // looked at again when its turn comes
     return true;
   }
-  Begin(c, std::move(request));
+  Begin(c, std::move(request), body_bytes);
   return true;
 }
 
-void HttpServer::Begin(Connection* c, Message&& request) {
+void HttpServer::Begin(Connection* c, Message&& request, size_t body_bytes) {
   Slot slot;
+  slot.body_bytes = body_bytes;
   slot.ticket = next_ticket_++;
   slot.keep_alive = request.keep_alive;
   slot.to_head = request.method == "HEAD";
@@ -271,6 +275,7 @@
     wrote = true;
     bool close = slot.close;
     waiting_.erase(slot.ticket);
+    buffered_ -= slot.body_bytes;
     c->slots.pop_front();
     if (close) Close(c);
   }
@@ -292,9 +297,11 @@
 void HttpServer::Close(Connection* c) {
   c->closing = true;
   c->waiting.reset();
+  buffered_ -= std::exchange(c->waiting_bytes, 0);
   std::deque<Slot> behind = std::move(c->slots);
   c->slots.clear();
   for (Slot& slot : behind) {
+    buffered_ -= slot.body_bytes;
     if (slot.ticket && waiting_.erase(slot.ticket) && gone_) gone_(slot.ticket);
   }
 }
--- a/src/wire/http_server.h
+++ b/src/wire/http_server.h
@@ -25,7 +25,8 @@
     // each but the first that it may be begun before those in front of it are answered.
     size_t pipeline = 1;
     std::function<bool(const Message&)> may_run_out_of_order;
-    size_t max_buffered_bytes = 64u << 20;  // all bodies being read, together
+    // All bodies of requests together, from their first byte until they are answered.
+    size_t max_buffered_bytes = 64u << 20;
   };
   using Handler = std::function<void(Ticket, Message&&)>;
   // The client closed before the answer to this request was given.
@@ -75,6 +76,7 @@
   };
   Occupancy GetOccupancy() const;
   size_t connections() const { return connections_.size(); }
+  size_t buffered_bytes() const { return buffered_; }
 
  private:
   struct Slot;
@@ -83,7 +85,7 @@
   void Drop(Connection* c);
   void Advance(Connection* c);
   bool ReadOne(Connection* c);
-  void Begin(Connection* c, Message&& request);
+  void Begin(Connection* c, Message&& request, size_t body_bytes);
   void Flush(Connection* c);
   void Refuse(Connection* c, int status, const char* reason);
   void StartClock(Connection* c);
--- a/tests/wire/http_server_test.cc
+++ b/tests/wire/http_server_test.cc
@@ -23,11 +23,13 @@
   ~HttpServerTest() override {
     for (int fd : clients_) close(fd);
   }
+  static constexpr size_t kMaxBufferedBytes = 1000;
   static HttpServer::Options MakeOptions() {
     HttpServer::Options options;
     options.limits = [] { return Limits(); };
     options.pipeline = 4;
     options.may_run_out_of_order = [](const Message&) { return true; };
+    options.max_buffered_bytes = kMaxBufferedBytes;
     return options;
   }
   template <class Condition>
@@ -55,6 +57,19 @@
     EXPECT_TRUE(RunUntil([&] { return tickets_.size() == wanted; }));
     return fd;
   }
+  // Sends a request with a body on a new connection.
+  int Post(size_t body_bytes) {
+    int fd = StartConnect(address_, 0);
+    clients_.push_back(fd);
+    std::string bytes =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+    bytes.append(body_bytes, 'b');
+    EXPECT_TRUE(RunUntil([&] {
+      return send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+             static_cast<ssize_t>(bytes.size());
+    }));
+    return fd;
+  }
   std::string Receive(int fd) {
     std::string all;
     char buffer[4096];
@@ -124,5 +139,33 @@
   EXPECT_FALSE(server_.Answer(tickets_[0], OwnAnswer(200, "late")));
 }
 
+// Bodies that were read whole and waited for a server were in no sum: uploads took a proxy beyond
+// the memory that the platform allows it.
+TEST_F(HttpServerTest, BodiesCountUntilTheyAreAnswered) {
+  int first = Post(800);
+  ASSERT_TRUE(RunUntil([&] { return tickets_.size() == 1; }));
+  EXPECT_EQ(server_.buffered_bytes(), 800u);
+  std::string refused = Await(Post(800), 1);
+  EXPECT_NE(refused.find("HTTP/1.1 503"), std::string::npos) << refused;
+  EXPECT_NE(refused.find("Retry-After"), std::string::npos) << refused;
+  EXPECT_EQ(tickets_.size(), 1u);
+  Ask(1);  // what has no body takes no part in it
+  EXPECT_TRUE(server_.Answer(tickets_[0], OwnAnswer(200, "whole")));
+  Await(first, 1);
+  EXPECT_TRUE(RunUntil([&] { return server_.buffered_bytes() == 0; }));
+  Post(800);
+  EXPECT_TRUE(RunUntil([&] { return tickets_.size() == 3; }));
+}
+
+TEST_F(HttpServerTest, BodiesOfClientsThatLeaveCountNoMore) {
+  int client = Post(800);
+  ASSERT_TRUE(RunUntil([&] { return tickets_.size() == 1; }));
+  linger hard{1, 0};
+  setsockopt(client, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  close(client);
+  clients_.pop_back();
+  EXPECT_TRUE(RunUntil([&] { return server_.buffered_bytes() == 0; }));
+}
+
 }  // namespace
 }  // namespace elderkeel::wire
