--- a/src/cluster/cluster_node.cc
+++ b/src/cluster/cluster_node.cc
@@ -67,7 +67,7 @@
       settings_(settings),
       callbacks_(std::move(callbacks)),
       mesh_(loop, {settings.ip, PortOf(settings, program)},
-            [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
+            [this](const base::Address& from, transport::Kind kind, std::string_view payload) {
               OnMessage(from, kind, payload);
             }),
       membership_(MembershipOptions(settings, program), SeedNodes(settings, program),
@@ -198,7 +198,7 @@
 
 template <class Message, class Use>
 void ClusterNode::Decoded(const base::Address& from, std::string_view payload, Use use) {
-  if (auto message = wire::Decode<Message>(payload)) {
+  if (auto message = transport::Decode<Message>(payload)) {
     use(*message);
     return;
   }
@@ -208,7 +208,8 @@
                                             from.ToString(), "can't be read"});
 }
 
-void ClusterNode::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
+void ClusterNode::OnMessage(const base::Address& from, transport::Kind kind,
+                            std::string_view payload) {
   base::Millis now = base::SteadyMillis();
   bool handled = OnMembershipMessage(now, from, kind, payload) ||
                  OnDisseminationMessage(now, from, kind, payload);
@@ -216,24 +217,24 @@
   Pump();
 }
 
-bool ClusterNode::OnMembershipMessage(base::Millis now, const base::Address& from, wire::Kind kind,
-                                      std::string_view payload) {
+bool ClusterNode::OnMembershipMessage(base::Millis now, const base::Address& from,
+                                      transport::Kind kind, std::string_view payload) {
   switch (kind) {
-    case wire::Kind::kHeartbeat:
+    case transport::Kind::kHeartbeat:
       Decoded<membership::Heartbeat>(
           from, payload, [&](const auto& message) { membership_.OnHeartbeat(now, from, message); });
       return true;
-    case wire::Kind::kMembershipUpdate:
+    case transport::Kind::kMembershipUpdate:
       Decoded<membership::MembershipUpdate>(from, payload, [&](const auto& message) {
         membership_.OnMembershipUpdate(now, from, message);
       });
       return true;
-    case wire::Kind::kPartDigests:
+    case transport::Kind::kPartDigests:
       Decoded<membership::PartDigests>(from, payload, [&](const auto& message) {
         membership_.OnPartDigests(now, from, message);
       });
       return true;
-    case wire::Kind::kSummary:
+    case transport::Kind::kSummary:
       Decoded<membership::MembershipSummary>(
           from, payload, [&](const auto& message) { membership_.OnSummary(now, from, message); });
       return true;
@@ -243,42 +244,42 @@
 }
 
 bool ClusterNode::OnDisseminationMessage(base::Millis now, const base::Address& from,
-                                         wire::Kind kind, std::string_view payload) {
+                                         transport::Kind kind, std::string_view payload) {
   switch (kind) {
-    case wire::Kind::kDigest:
+    case transport::Kind::kDigest:
       Decoded<Digest>(from, payload, [&](const auto& message) { OnDigest(now, from, message); });
       return true;
-    case wire::Kind::kPullRequest:
+    case transport::Kind::kPullRequest:
       Decoded<dissemination::PullRequest>(from, payload, [&](const auto& message) {
         disseminator_.OnPullRequest(now, from, message);
       });
       return true;
-    case wire::Kind::kSyncRequest:
+    case transport::Kind::kSyncRequest:
       Decoded<dissemination::SyncRequest>(from, payload, [&](const auto& message) {
         disseminator_.OnSyncRequest(now, from, message);
       });
       return true;
-    case wire::Kind::kSyncReply:
+    case transport::Kind::kSyncReply:
       Decoded<dissemination::SyncReply>(from, payload, [&](const auto& message) {
         disseminator_.OnSyncReply(now, from, message);
       });
       return true;
-    case wire::Kind::kConfigurationUpdate:
+    case transport::Kind::kConfigurationUpdate:
       Decoded<dissemination::ConfigurationUpdate>(from, payload, [&](const auto& message) {
         disseminator_.OnConfigurationUpdate(now, from, message);
       });
       return true;
-    case wire::Kind::kEndpointUpdate:
+    case transport::Kind::kEndpointUpdate:
       Decoded<dissemination::EndpointUpdate>(from, payload, [&](const auto& message) {
         disseminator_.OnEndpointUpdate(now, from, message);
       });
       return true;
-    case wire::Kind::kZoneDrainUpdate:
+    case transport::Kind::kZoneDrainUpdate:
       Decoded<dissemination::ZoneDrainUpdate>(from, payload, [&](const auto& message) {
         disseminator_.OnZoneDrainUpdate(now, from, message);
       });
       return true;
-    case wire::Kind::kRolloutUpdate:
+    case transport::Kind::kRolloutUpdate:
       Decoded<dissemination::RolloutUpdate>(from, payload, [&](const auto& message) {
         disseminator_.OnRolloutUpdate(now, from, message);
       });
@@ -299,19 +300,21 @@
 
 // --- sent ---
 
-void ClusterNode::SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes) {
+void ClusterNode::SendSmall(const base::Address& to, transport::Kind kind,
+                            const std::string& bytes) {
   bool sent =
       bytes.size() <= kDatagramBytes && mesh_.SendDatagram(to, kind, std::string_view(bytes));
   if (!sent) mesh_.Send(to, kind, std::string_view(bytes));
 }
 
 template <class Message>
-void ClusterNode::SendUpdate(const base::Address& to, wire::Kind kind, const Message& message) {
+void ClusterNode::SendUpdate(const base::Address& to, transport::Kind kind,
+                             const Message& message) {
   if (!mesh_.Send(to, kind, message)) disseminator_.OnSendFailed(to);
 }
 
 template <class Message>
-void ClusterNode::SendSync(const base::Address& to, wire::Kind kind, const Message& message,
+void ClusterNode::SendSync(const base::Address& to, transport::Kind kind, const Message& message,
                            bool reliable) {
   if (reliable || !mesh_.SendDatagram(to, kind, message)) mesh_.Send(to, kind, message);
 }
@@ -323,7 +326,7 @@
     digest.load = std::move(reply_report_.second);
     reply_report_ = {};
   }
-  SendSync(to, wire::Kind::kDigest, digest, digest.reliable);
+  SendSync(to, transport::Kind::kDigest, digest, digest.reliable);
 }
 
 void ClusterNode::SendMembershipUpdate(const base::Address& to,
@@ -332,48 +335,48 @@
   const membership::Node& self = membership_.self();
   bool own = std::any_of(update.nodes.begin(), update.nodes.end(),
                          [&self](const membership::Node& node) { return node.id == self.id; });
-  std::string bytes = wire::Encode(update);
+  std::string bytes = transport::Encode(update);
   if (own && self.incarnation > 1) {
-    mesh_.Send(to, wire::Kind::kMembershipUpdate, std::string_view(bytes));
+    mesh_.Send(to, transport::Kind::kMembershipUpdate, std::string_view(bytes));
   } else {
-    SendSmall(to, wire::Kind::kMembershipUpdate, bytes);
+    SendSmall(to, transport::Kind::kMembershipUpdate, bytes);
   }
 }
 
 void ClusterNode::SendMembership(const Membership::Effects& effects) {
   for (const auto& [to, heartbeat] : effects.heartbeats) {
-    mesh_.SendDatagram(to, wire::Kind::kHeartbeat, heartbeat);
+    mesh_.SendDatagram(to, transport::Kind::kHeartbeat, heartbeat);
   }
   for (const auto& [to, update] : effects.updates) SendMembershipUpdate(to, update);
   for (const auto& [to, digests] : effects.part_digests) {
-    mesh_.SendDatagram(to, wire::Kind::kPartDigests, digests);
+    mesh_.SendDatagram(to, transport::Kind::kPartDigests, digests);
   }
   for (const auto& [to, summary] : effects.summaries) {
-    SendSmall(to, wire::Kind::kSummary, wire::Encode(summary));
+    SendSmall(to, transport::Kind::kSummary, transport::Encode(summary));
   }
 }
 
 void ClusterNode::SendUpdates(Disseminator::Effects* effects) {
   for (auto& [to, digest] : effects->digests) SendDigest(to, std::move(digest));
-  for (const auto& [to, pull] : effects->pulls) mesh_.Send(to, wire::Kind::kPullRequest, pull);
+  for (const auto& [to, pull] : effects->pulls) mesh_.Send(to, transport::Kind::kPullRequest, pull);
   // Versions before endpoints: a node that knows of servers must know which it may send to.
   for (const auto& [to, update] : effects->rollouts) {
-    SendUpdate(to, wire::Kind::kRolloutUpdate, update);
+    SendUpdate(to, transport::Kind::kRolloutUpdate, update);
   }
   for (const auto& [to, update] : effects->configuration_updates) {
-    SendUpdate(to, wire::Kind::kConfigurationUpdate, update);
+    SendUpdate(to, transport::Kind::kConfigurationUpdate, update);
   }
   for (const auto& [to, update] : effects->endpoint_updates) {
-    SendUpdate(to, wire::Kind::kEndpointUpdate, update);
+    SendUpdate(to, transport::Kind::kEndpointUpdate, update);
   }
   for (const auto& [to, update] : effects->zone_drains) {
-    SendUpdate(to, wire::Kind::kZoneDrainUpdate, update);
+    SendUpdate(to, transport::Kind::kZoneDrainUpdate, update);
   }
   for (const auto& [to, request] : effects->sync_requests) {
-    SendSync(to, wire::Kind::kSyncRequest, request, request.reliable);
+    SendSync(to, transport::Kind::kSyncRequest, request, request.reliable);
   }
   for (const auto& reply : effects->sync_replies) {
-    SendSync(reply.to, wire::Kind::kSyncReply, reply.reply, reply.follows);
+    SendSync(reply.to, transport::Kind::kSyncReply, reply.reply, reply.follows);
   }
 }
 
--- a/src/cluster/cluster_node.h
+++ b/src/cluster/cluster_node.h
@@ -14,7 +14,7 @@
 #include "dissemination/disseminator.h"
 #include "lifecycle/settings_watcher.h"
 #include "membership/membership.h"
-#include "wire/mesh.h"
+#include "transport/mesh.h"
 
 namespace elderkeel::cluster {
 
@@ -37,7 +37,7 @@
     std::function<load::LoadReport()> load_report;
     std::function<void(const load::LoadReport&)> load_report_received;
     // A message of another module.
-    std::function<void(const base::Address&, wire::Kind, std::string_view)> message;
+    std::function<void(const base::Address&, transport::Kind, std::string_view)> message;
   };
 
   // `settings` outlives this object.
@@ -53,7 +53,7 @@
   // Tells the others that this process stops.
   void Leave();
 
-  wire::Mesh& mesh() { return mesh_; }
+  transport::Mesh& mesh() { return mesh_; }
   const membership::Membership& membership() const { return membership_; }
   const dissemination::Disseminator& disseminator() const { return disseminator_; }
 
@@ -78,15 +78,15 @@
   // Whether this proxy may be given clients.
   void SetReady(bool ready);
   // By datagram if it fits one, since that needs no connection to a node that may be gone.
-  void SendSmall(const base::Address& to, wire::Kind kind, const std::string& bytes);
+  void SendSmall(const base::Address& to, transport::Kind kind, const std::string& bytes);
   // Controllers that are known, those of the own zone first, those without a disk last; then seeds.
   std::vector<base::Address> Controllers() const;
 
  private:
-  void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
-  bool OnMembershipMessage(base::Millis now, const base::Address& from, wire::Kind kind,
+  void OnMessage(const base::Address& from, transport::Kind kind, std::string_view payload);
+  bool OnMembershipMessage(base::Millis now, const base::Address& from, transport::Kind kind,
                            std::string_view payload);
-  bool OnDisseminationMessage(base::Millis now, const base::Address& from, wire::Kind kind,
+  bool OnDisseminationMessage(base::Millis now, const base::Address& from, transport::Kind kind,
                               std::string_view payload);
   // Decodes a message and hands it to `use`; one that can't be decoded is logged and dropped.
   template <class Message, class Use>
@@ -105,14 +105,15 @@
   void ReportAdopted(const dissemination::Disseminator::Effects& effects);
   void SendDigest(const base::Address& to, dissemination::Digest digest);
   template <class Message>
-  void SendUpdate(const base::Address& to, wire::Kind kind, const Message& message);
+  void SendUpdate(const base::Address& to, transport::Kind kind, const Message& message);
   template <class Message>
-  void SendSync(const base::Address& to, wire::Kind kind, const Message& message, bool reliable);
+  void SendSync(const base::Address& to, transport::Kind kind, const Message& message,
+                bool reliable);
 
   base::Loop* loop_;
   const base::Settings& settings_;
   Callbacks callbacks_;
-  wire::Mesh mesh_;
+  transport::Mesh mesh_;
   membership::Membership membership_;
   dissemination::Disseminator disseminator_;
   std::unique_ptr<lifecycle::SettingsWatcher> settings_watcher_;
--- a/src/configuration/configuration_state.h
+++ b/src/configuration/configuration_state.h
@@ -11,15 +11,15 @@
 #include "base/verdict.h"
 #include "configuration/change.h"
 #include "configuration/parsed_configuration.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::configuration {
 
 // A change, and the document that it makes, are taken up to this size. What is taken is carried to
-// every controller and proxy, in one frame (wire::kMaxFrame) with room for what is added on the
-// way.
+// every controller and proxy, in one frame (transport::kMaxFrame) with room for what is added on
+// the way.
 constexpr size_t kMaxDocumentBytes = 4u << 20;
-static_assert(kMaxDocumentBytes <= wire::kMaxFrame / 2);
+static_assert(kMaxDocumentBytes <= transport::kMaxFrame / 2);
 
 // The accepted configuration and what led to it, as a state machine above the log: the same entries
 // give the same state on every controller. Each change is judged again when its entry is applied,
--- a/src/configuration/operator_api.cc
+++ b/src/configuration/operator_api.cc
@@ -18,8 +18,8 @@
   return change ? change->body.size() : 0;
 }
 
-wire::Message JsonAnswer() {
-  wire::Message answer;
+http::Message JsonAnswer() {
+  http::Message answer;
   answer.status = 200;
   answer.headers.push_back({"Content-Type", "application/json"});
   return answer;
@@ -28,7 +28,7 @@
 }  // namespace
 
 void OperatorApi::AnswerStatus(uint64_t ticket, int status, const std::string& reason) {
-  wire::Message answer = wire::OwnAnswer(status, reason);
+  http::Message answer = http::OwnAnswer(status, reason);
   if (status == 200) {
     answer.body = "{\"revision\":" + std::to_string(state_->revision()) + "}";
   }
@@ -39,7 +39,7 @@
 
 void OperatorApi::AnswerConfiguration(uint64_t ticket) {
   if (state_->empty()) return AnswerStatus(ticket, 404, "no configuration yet");
-  wire::Message answer = JsonAnswer();
+  http::Message answer = JsonAnswer();
   answer.headers.push_back({"ETag", "\"" + std::to_string(state_->revision()) + "\""});
   answer.body = state_->text();
   answer_(ticket, answer);
@@ -56,7 +56,7 @@
   writer.Key("target-revision");
   writer.String(rollout->order.version.c_str());
   writer.EndObject();
-  wire::Message answer = JsonAnswer();
+  http::Message answer = JsonAnswer();
   answer.body.assign(buffer.GetString(), buffer.GetSize());
   answer_(ticket, answer);
 }
@@ -67,12 +67,12 @@
     AnswerStatus(ticket, 503, "no leader is known");
     return;
   }
-  wire::Message answer = wire::OwnAnswer(307, "the leader is elsewhere");
+  http::Message answer = http::OwnAnswer(307, "the leader is elsewhere");
   answer.headers.push_back({"Location", "http://" + *leader + target});
   answer_(ticket, answer);
 }
 
-void OperatorApi::OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request) {
+void OperatorApi::OnRequest(base::Millis now, uint64_t ticket, const http::Message& request) {
   auto call = ParseOperatorCall(request);
   if (!call) return AnswerStatus(ticket, call.error().status, call.error().reason);
   if (!log_->is_leader()) return RedirectToLeader(ticket, request.target);
--- a/src/configuration/operator_api.h
+++ b/src/configuration/operator_api.h
@@ -11,8 +11,8 @@
 #include "configuration/configuration_state.h"
 #include "configuration/operator_call.h"
 #include "configuration/replicated_log.h"
+#include "http/http.h"
 #include "rollout/rollouts.h"
-#include "wire/http.h"
 #include "zone_drain/drained_zones.h"
 
 namespace elderkeel::configuration {
@@ -26,7 +26,7 @@
 // that was acknowledged elsewhere: it is not proposed any more.
 class OperatorApi {
  public:
-  using Answer = std::function<void(uint64_t ticket, const wire::Message&)>;
+  using Answer = std::function<void(uint64_t ticket, const http::Message&)>;
 
   // The states are those that the log's entries are applied to; all pointers outlive this object.
   OperatorApi(ReplicatedLog* log, const ConfigurationState* state,
@@ -39,7 +39,7 @@
         answer_(std::move(answer)),
         patience_(patience) {}
 
-  void OnRequest(base::Millis now, uint64_t ticket, const wire::Message& request);
+  void OnRequest(base::Millis now, uint64_t ticket, const http::Message& request);
   // The caller closed its connection: what was not proposed yet will not be.
   void OnCallerGone(uint64_t ticket);
   void OnReadFinished(base::Millis now, uint64_t token, bool confirmed);
--- a/src/configuration/operator_call.cc
+++ b/src/configuration/operator_call.cc
@@ -28,10 +28,10 @@
   if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
     text = text.substr(1, text.size() - 2);
   }
-  return wire::ParseDecimal(text);
+  return http::ParseDecimal(text);
 }
 
-tl::expected<OperatorCall, base::Verdict> ParseConfigurationCall(const wire::Message& request) {
+tl::expected<OperatorCall, base::Verdict> ParseConfigurationCall(const http::Message& request) {
   if (request.method == "GET") return ReadConfiguration{};
   Change change;
   change.patch = request.method == "PATCH";
@@ -44,7 +44,7 @@
   return change;
 }
 
-tl::expected<OperatorCall, base::Verdict> ParseDrainCall(const wire::Message& request) {
+tl::expected<OperatorCall, base::Verdict> ParseDrainCall(const http::Message& request) {
   if (request.method != "POST" && request.method != "DELETE") return Reject(405, "POST, DELETE");
   zone_drain::DrainOrder order;
   order.zone = request.Path().substr(kDrainPrefix.size());
@@ -85,7 +85,7 @@
   return order;
 }
 
-tl::expected<OperatorCall, base::Verdict> ParseRolloutCall(const wire::Message& request) {
+tl::expected<OperatorCall, base::Verdict> ParseRolloutCall(const http::Message& request) {
   std::string_view path = request.Path();
   if (StartsWith(path, kRolloutPrefix)) {
     if (request.method != "GET") return Reject(405, "GET");
@@ -102,7 +102,7 @@
          StartsWith(path, kRolloutPrefix);
 }
 
-tl::expected<OperatorCall, base::Verdict> ParseOperatorCall(const wire::Message& request) {
+tl::expected<OperatorCall, base::Verdict> ParseOperatorCall(const http::Message& request) {
   if (StartsWith(request.Path(), kDrainPrefix)) return ParseDrainCall(request);
   if (request.Path() == kConfigurationPath) return ParseConfigurationCall(request);
   return ParseRolloutCall(request);
--- a/src/configuration/operator_call.h
+++ b/src/configuration/operator_call.h
@@ -7,8 +7,8 @@
 
 #include "base/verdict.h"
 #include "configuration/change.h"
+#include "http/http.h"
 #include "rollout/rollouts.h"
-#include "wire/http.h"
 #include "zone_drain/drained_zones.h"
 
 // The calls of the operator's interface, read from HTTP requests.
@@ -31,6 +31,6 @@
 
 // The call that a request makes. REQUIRES: its path belongs to the interface. The error has the
 // status to answer: 400, 405 (its reason lists the methods allowed), 413.
-tl::expected<OperatorCall, base::Verdict> ParseOperatorCall(const wire::Message& request);
+tl::expected<OperatorCall, base::Verdict> ParseOperatorCall(const http::Message& request);
 
 }  // namespace elderkeel::configuration
--- a/src/configuration/routing_table.cc
+++ b/src/configuration/routing_table.cc
@@ -34,8 +34,8 @@
   return service;
 }
 
-wire::Limits MakeLimits(const Value& json) {
-  wire::Limits limits;
+http::Limits MakeLimits(const Value& json) {
+  http::Limits limits;
   limits.header_bytes =
       static_cast<size_t>(IntegerOr(json, "max-header-bytes", kDefaultHeaderBytes));
   limits.body_bytes = static_cast<size_t>(IntegerOr(json, "max-body-bytes", kDefaultBodyBytes));
--- a/src/configuration/routing_table.h
+++ b/src/configuration/routing_table.h
@@ -8,7 +8,7 @@
 
 #include "base/names.h"
 #include "configuration/copy_on_write_map.h"
-#include "wire/http.h"
+#include "http/http.h"
 
 namespace elderkeel::configuration {
 
@@ -43,7 +43,7 @@
 class RoutingTable {
  public:
   int64_t revision() const { return revision_; }
-  const wire::Limits& limits() const { return limits_; }
+  const http::Limits& limits() const { return limits_; }
   // The routes that are new, or not as they were, since the table that this one was made from: all
   // of them if it was made from a document.
   const std::vector<std::shared_ptr<const Route>>& changed() const { return changed_; }
@@ -70,7 +70,7 @@
   using SharedRoute = std::shared_ptr<const Route>;
 
   int64_t revision_ = 0;
-  wire::Limits limits_;
+  http::Limits limits_;
   std::vector<SharedRoute> changed_;
   CopyOnWriteMap<SharedRoute> by_label_;
   CopyOnWriteMap<SharedRoute> by_location_;  // by host, NUL, prefix
--- a/src/consensus/disk_store.cc
+++ b/src/consensus/disk_store.cc
@@ -10,7 +10,7 @@
 #include <optional>
 #include <thread>
 
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::consensus {
 namespace {
@@ -119,14 +119,14 @@
   leveldb::Status status = db_->Get(options, kHardStateKey, &value);
   if (status.IsNotFound()) return restored;
   if (!status.ok()) return base::Failure(MakeError("store.open", status));
-  auto hard_state = wire::Decode<HardState>(value);
+  auto hard_state = transport::Decode<HardState>(value);
   if (!hard_state) return Corruption("the vote can't be read");
   restored.empty = false;
   restored.hard_state = *hard_state;
   base::Status loaded = LoadSnapshot(options, &restored);
   if (!loaded) return base::Failure(loaded.error());
   if (db_->Get(options, kCommitKey, &value).ok()) {
-    if (auto commit = wire::Decode<Index>(value)) restored.commit = *commit;
+    if (auto commit = transport::Decode<Index>(value)) restored.commit = *commit;
   }
   loaded = LoadEntries(options, &restored);
   if (!loaded) return base::Failure(loaded.error());
@@ -139,7 +139,7 @@
   leveldb::Status status = db_->Get(options, kSnapshotKey, &value);
   if (status.IsNotFound()) return {};
   if (!status.ok()) return base::Failure(MakeError("store.open", status));
-  auto snapshot = wire::Decode<Snapshot>(value);
+  auto snapshot = transport::Decode<Snapshot>(value);
   if (!snapshot) return Corruption("the snapshot can't be read");
   restored->snapshot = std::move(*snapshot);
   return {};
@@ -152,7 +152,7 @@
   for (record->Seek(kEntryPrefix); record->Valid() && record->key().starts_with(kEntryPrefix);
        record->Next()) {
     auto entry =
-        wire::Decode<Entry>(std::string_view(record->value().data(), record->value().size()));
+        transport::Decode<Entry>(std::string_view(record->value().data(), record->value().size()));
     if (!entry) return Corruption("an entry can't be read");
     if (!entries.empty() && entry->index != entries.back().index + 1) {
       return Corruption("the log has a gap");
@@ -170,12 +170,13 @@
   // LevelDB may go on behind a record that is only partly there, and would not find what follows.
   if (refused_) return base::Failure(*refused_);
   leveldb::WriteBatch batch;
-  if (write.hard_state_changed) batch.Put(kHardStateKey, wire::Encode(write.hard_state));
-  if (!write.snapshot.empty()) batch.Put(kSnapshotKey, wire::Encode(write.snapshot[0]));
+  if (write.hard_state_changed) batch.Put(kHardStateKey, transport::Encode(write.hard_state));
+  if (!write.snapshot.empty()) batch.Put(kSnapshotKey, transport::Encode(write.snapshot[0]));
   if (write.drop_to > 0) DeleteEntries(&batch, 0, write.drop_to);
   if (write.truncate_from > 0) DeleteEntries(&batch, write.truncate_from, UINT64_MAX);
-  for (const Entry& entry : write.entries) batch.Put(EntryKey(entry.index), wire::Encode(entry));
-  if (write.commit > 0) batch.Put(kCommitKey, wire::Encode(write.commit));
+  for (const Entry& entry : write.entries)
+    batch.Put(EntryKey(entry.index), transport::Encode(entry));
+  if (write.commit > 0) batch.Put(kCommitKey, transport::Encode(write.commit));
   leveldb::WriteOptions options;
   options.sync = write.hard_state_changed || !write.snapshot.empty() || !write.entries.empty() ||
                  write.truncate_from > 0;
--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::consensus {
 
@@ -39,7 +39,7 @@
     if (entry->index > index) continue;
     if (entry->index <= snapshot_.index) break;
     if (entry->kind != EntryKind::kVoters) continue;
-    if (auto voters = wire::Decode<std::vector<Member>>(entry->data)) return *voters;
+    if (auto voters = transport::Decode<std::vector<Member>>(entry->data)) return *voters;
     break;
   }
   return snapshot_.voters;
--- a/src/consensus/voter_changes.cc
+++ b/src/consensus/voter_changes.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "consensus/raft_node.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::consensus {
 
@@ -168,7 +168,7 @@
 }
 
 void RaftNode::ProposeVoters(base::Millis now, const std::vector<Member>& voters) {
-  Append(EntryKind::kVoters, wire::Encode(voters));
+  Append(EntryKind::kVoters, transport::Encode(voters));
   Broadcast(now);
 }
 
--- a/src/controller/confirmation_service.cc
+++ b/src/controller/confirmation_service.cc
@@ -29,7 +29,7 @@
     reply.leader_ip = neighbor->ip;
     reply.leader_port = neighbor->port;
   }
-  context_->node->mesh().Send(from, wire::Kind::kConfirmReply, reply);
+  context_->node->mesh().Send(from, transport::Kind::kConfirmReply, reply);
 }
 
 void ConfirmationService::OnReadFinished(uint64_t token, bool confirmed) {
@@ -43,7 +43,7 @@
     reply.versions = {state.configuration.revision(), state.drained_zones.version(),
                       state.rollouts.version()};
   }
-  context_->node->mesh().Send(found->second.from, wire::Kind::kConfirmReply, reply);
+  context_->node->mesh().Send(found->second.from, transport::Kind::kConfirmReply, reply);
   pending_.erase(found);
 }
 
--- a/src/controller/control_state.cc
+++ b/src/controller/control_state.cc
@@ -8,7 +8,7 @@
 // Decodes a command's payload and applies it to `state`; true if it changed something.
 template <class Payload, class State>
 bool ApplyPayload(const std::string& payload, State* state) {
-  auto decoded = wire::Decode<Payload>(payload);
+  auto decoded = transport::Decode<Payload>(payload);
   return decoded && state->Apply(*decoded);
 }
 
@@ -29,7 +29,7 @@
 }  // namespace
 
 ControlState::Effect ControlState::Apply(const std::string& data) {
-  auto command = wire::Decode<Command>(data);
+  auto command = transport::Decode<Command>(data);
   if (!command) return Effect::kNone;
   const std::string& payload = command->payload;
   switch (command->kind) {
@@ -44,16 +44,16 @@
     case Command::Kind::kCatalogReader:
       break;
   }
-  auto assignment = wire::Decode<singleton::Assignment>(payload);
+  auto assignment = transport::Decode<singleton::Assignment>(payload);
   if (!assignment || assignment->epoch <= catalog_reader.epoch) return Effect::kNone;
   catalog_reader = *assignment;
   return Effect::kCatalogReader;
 }
 
 std::optional<ControlState> ControlState::Decode(const std::string& bytes) {
-  if (auto state = wire::Decode<ControlState>(bytes)) return state;
-  if (auto before = wire::Decode<BeforeRollouts>(bytes)) return std::move(before->state);
-  if (auto before = wire::Decode<BeforeZoneDrains>(bytes)) return std::move(before->state);
+  if (auto state = transport::Decode<ControlState>(bytes)) return state;
+  if (auto before = transport::Decode<BeforeRollouts>(bytes)) return std::move(before->state);
+  if (auto before = transport::Decode<BeforeZoneDrains>(bytes)) return std::move(before->state);
   return std::nullopt;
 }
 
--- a/src/controller/control_state.h
+++ b/src/controller/control_state.h
@@ -8,7 +8,7 @@
 #include "configuration/configuration_state.h"
 #include "rollout/rollouts.h"
 #include "singleton/assigner.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 #include "zone_drain/drained_zones.h"
 
 namespace elderkeel::controller {
@@ -26,7 +26,7 @@
 
 template <class Payload>
 std::string MakeCommand(Command::Kind kind, const Payload& payload) {
-  return wire::Encode(Command{kind, wire::Encode(payload)});
+  return transport::Encode(Command{kind, transport::Encode(payload)});
 }
 
 // All that the controllers agree on, as a state machine above the log: the same entries give the
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -41,20 +41,20 @@
 }
 
 // The part of a request's target behind `mark`; empty if it has none.
-std::string_view TargetBehind(const wire::Message& request, std::string_view mark) {
+std::string_view TargetBehind(const http::Message& request, std::string_view mark) {
   std::string_view target = request.target;
   size_t found = target.find(mark);
   return found == std::string_view::npos ? "" : target.substr(found + mark.size());
 }
 
-wire::Message Redirect(const char* reason, const std::string& address, const std::string& target) {
-  wire::Message answer = wire::OwnAnswer(307, reason);
+http::Message Redirect(const char* reason, const std::string& address, const std::string& target) {
+  http::Message answer = http::OwnAnswer(307, reason);
   answer.headers.push_back({"Location", "http://" + address + target});
   return answer;
 }
 
-wire::Message Unavailable(const char* reason) {
-  wire::Message answer = wire::OwnAnswer(503, reason);
+http::Message Unavailable(const char* reason) {
+  http::Message answer = http::OwnAnswer(503, reason);
   answer.headers.push_back({"Retry-After", kRetryAfterS});
   return answer;
 }
@@ -98,9 +98,8 @@
 
 void Controller::MakeNode() {
   cluster::ClusterNode::Callbacks callbacks;
-  callbacks.message = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
-    OnMessage(from, kind, payload);
-  };
+  callbacks.message = [this](const base::Address& from, transport::Kind kind,
+                             std::string_view payload) { OnMessage(from, kind, payload); };
   callbacks.node_changed = [this](const membership::Node& node) {
     if (context_.replica) context_.replica->SetZone(node.ip, node.zone);
     context_.Note("node." + std::string(membership::StateName(node.state)),
@@ -113,14 +112,14 @@
 void Controller::MakeReplica() {
   consensus::Replica::Callbacks callbacks;
   callbacks.send = [this](const base::Address& to, const consensus::Message& message) {
-    context_.node->mesh().Send(to, wire::Kind::kConsensus, message);
+    context_.node->mesh().Send(to, transport::Kind::kConsensus, message);
   };
   callbacks.apply = [this](const consensus::Entry& entry) { OnApplied(entry); };
   callbacks.all_applied = [this] { PublishState(); };
   callbacks.install = [this](const consensus::Snapshot& snapshot) {
     OnSnapshotInstalled(snapshot);
   };
-  callbacks.encode_state = [this] { return wire::Encode(context_.state); };
+  callbacks.encode_state = [this] { return transport::Encode(context_.state); };
   callbacks.read_finished = [this](uint64_t token, bool confirmed) {
     OnReadFinished(token, confirmed);
   };
@@ -132,7 +131,7 @@
 }
 
 void Controller::MakeOperatorApi() {
-  auto answer = [this](uint64_t ticket, const wire::Message& message) {
+  auto answer = [this](uint64_t ticket, const http::Message& message) {
     control_server_->Answer(ticket, message);
   };
   const ControlState& state = context_.state;
@@ -144,17 +143,17 @@
         return WriteStatus(context_, nodes, base::SteadyMillis());
       },
       answer);
-  wire::HttpServer::Options options;
+  http::HttpServer::Options options;
   options.limits = [] {
-    wire::Limits limits;
+    http::Limits limits;
     limits.body_bytes = kMaxControlBodyBytes;
     return limits;
   };
   options.notice_sleep = true;
   options.max_connections = kMaxControlConnections;
-  control_server_ = std::make_unique<wire::HttpServer>(
+  control_server_ = std::make_unique<http::HttpServer>(
       loop_, options,
-      [this](Ticket ticket, wire::Message&& request) { OnRequest(ticket, std::move(request)); });
+      [this](Ticket ticket, http::Message&& request) { OnRequest(ticket, std::move(request)); });
   control_server_->OnGone([this](Ticket ticket) { operator_api_->OnCallerGone(ticket); });
 }
 
@@ -167,11 +166,11 @@
   options.ttl_s = std::min(options.ttl_s, max_ttl_s);
   directory_ = std::make_unique<directory::Directory>(options, &context_.node->membership(),
                                                       base::RandomSeed(), base::SteadyMillis());
-  wire::HttpServer::Options server_options;
-  server_options.limits = [] { return wire::Limits(); };
+  http::HttpServer::Options server_options;
+  server_options.limits = [] { return http::Limits(); };
   server_options.max_connections = static_cast<size_t>(settings.max_fds / 4);
-  directory_server_ = std::make_unique<wire::HttpServer>(
-      loop_, server_options, [this](Ticket ticket, wire::Message&& request) {
+  directory_server_ = std::make_unique<http::HttpServer>(
+      loop_, server_options, [this](Ticket ticket, http::Message&& request) {
         directory_server_->Answer(ticket, directory_->Answer(base::SteadyMillis(), request));
       });
   return directory_server_->Listen(settings.directory);
@@ -361,7 +360,7 @@
   if (context_.IsInContactWithLeader(now)) return;
   next_join_at_ = now + kJoinEveryMs;
   for (const base::Address& address : context_.node->Controllers()) {
-    context_.node->mesh().Send(address, wire::Kind::kJoin, context_.replica->self());
+    context_.node->mesh().Send(address, transport::Kind::kJoin, context_.replica->self());
   }
 }
 
@@ -375,13 +374,13 @@
   }
   auto leader = context_.replica->raft().leader();
   if (leader && leader->address() != from && leader->address() != member.address()) {
-    context_.node->mesh().Send(leader->address(), wire::Kind::kJoin, member);
+    context_.node->mesh().Send(leader->address(), transport::Kind::kJoin, member);
   }
 }
 
 // --- calls over HTTP ---
 
-void Controller::OnRequest(Ticket ticket, wire::Message&& request) {
+void Controller::OnRequest(Ticket ticket, http::Message&& request) {
   if (rejecting_) {
     control_server_->Answer(ticket, Unavailable(kEnding));
     return;
@@ -396,15 +395,15 @@
   } else if (path == "/elderkeel/diagnose" || path == "/elderkeel/failures") {
     OnDiagnosisRequest(ticket, request);
   } else {
-    control_server_->Answer(ticket, wire::OwnAnswer(404, "no such path"));
+    control_server_->Answer(ticket, http::OwnAnswer(404, "no such path"));
   }
 }
 
-void Controller::OnOperatorRequest(Ticket ticket, const wire::Message& request) {
+void Controller::OnOperatorRequest(Ticket ticket, const http::Message& request) {
   if (context_.IsIdle() || !context_.replica->store_error().empty()) {
     RedirectToDurable(ticket, request.target);
   } else if (!context_.replica->running()) {
-    control_server_->Answer(ticket, wire::OwnAnswer(503, "this controller has only just started"));
+    control_server_->Answer(ticket, http::OwnAnswer(503, "this controller has only just started"));
   } else {
     operator_api_->OnRequest(base::SteadyMillis(), ticket, request);
   }
@@ -424,9 +423,9 @@
 
 // The leader has the votes; another controller redirects to it, or without one answers by its own
 // log.
-void Controller::OnRolloutReportRequest(Ticket ticket, const wire::Message& request) {
+void Controller::OnRolloutReportRequest(Ticket ticket, const http::Message& request) {
   if (request.method != "GET") {
-    control_server_->Answer(ticket, wire::OwnAnswer(405, "GET only"));
+    control_server_->Answer(ticket, http::OwnAnswer(405, "GET only"));
     return;
   }
   if (context_.IsIdle() || !context_.replica->store_error().empty()) {
@@ -439,22 +438,22 @@
     return;
   }
   base::Millis now = base::SteadyMillis();
-  wire::Message answer;
+  http::Message answer;
   answer.status = 200;
   answer.headers.push_back({"Content-Type", "application/json"});
   answer.body =
       WriteRollouts(context_, rollouts_->coordinator(), TargetBehind(request, "?service="), now);
   if (answer.body.empty()) {
     answer = is_leader() && context_.IsInContactWithLeader(now)
-                 ? wire::OwnAnswer(404, "no roll-out of this service was ordered")
+                 ? http::OwnAnswer(404, "no roll-out of this service was ordered")
                  : Unavailable("no leader is known, and here none was ordered");
   }
   control_server_->Answer(ticket, answer);
 }
 
-void Controller::OnStatusRequest(Ticket ticket, const wire::Message& request) {
+void Controller::OnStatusRequest(Ticket ticket, const http::Message& request) {
   if (request.method != "GET") {
-    control_server_->Answer(ticket, wire::OwnAnswer(405, "GET only"));
+    control_server_->Answer(ticket, http::OwnAnswer(405, "GET only"));
     return;
   }
   diagnosis::Question question;
@@ -462,7 +461,7 @@
   diagnosis_->Ask(ticket, question);
 }
 
-void Controller::OnDiagnosisRequest(Ticket ticket, const wire::Message& request) {
+void Controller::OnDiagnosisRequest(Ticket ticket, const http::Message& request) {
   std::string_view query = TargetBehind(request, "?");
   auto question = request.Path() == "/elderkeel/failures"
                       ? diagnosis::Question::ParseFailures(query)
@@ -470,45 +469,47 @@
   if (question) {
     diagnosis_->Ask(ticket, *question);
   } else {
-    control_server_->Answer(ticket, wire::OwnAnswer(400, question.error().reason));
+    control_server_->Answer(ticket, http::OwnAnswer(400, question.error().reason));
   }
 }
 
 // --- messages and time ---
 
-void Controller::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
-  if (kind == wire::Kind::kQueryReply) {
-    if (auto reply = wire::Decode<diagnosis::Reply>(payload)) diagnosis_->OnReply(from, *reply);
+void Controller::OnMessage(const base::Address& from, transport::Kind kind,
+                           std::string_view payload) {
+  if (kind == transport::Kind::kQueryReply) {
+    if (auto reply = transport::Decode<diagnosis::Reply>(payload))
+      diagnosis_->OnReply(from, *reply);
     return;
   }
   if (!context_.replica->running()) return;
   base::Millis now = base::SteadyMillis();
   switch (kind) {
-    case wire::Kind::kConsensus:
-      if (auto message = wire::Decode<consensus::Message>(payload)) {
+    case transport::Kind::kConsensus:
+      if (auto message = transport::Decode<consensus::Message>(payload)) {
         context_.replica->Receive(*message, from);
       }
       break;
-    case wire::Kind::kJoin:
-      if (auto member = wire::Decode<consensus::Member>(payload)) OnJoin(from, *member);
+    case transport::Kind::kJoin:
+      if (auto member = transport::Decode<consensus::Member>(payload)) OnJoin(from, *member);
       break;
-    case wire::Kind::kConfirm:
-      if (auto confirm = wire::Decode<dissemination::Confirm>(payload)) {
+    case transport::Kind::kConfirm:
+      if (auto confirm = transport::Decode<dissemination::Confirm>(payload)) {
         confirmations_.OnConfirm(from, *confirm);
       }
       break;
-    case wire::Kind::kResign:
-      if (auto resignation = wire::Decode<singleton::Resignation>(payload)) {
+    case transport::Kind::kResign:
+      if (auto resignation = transport::Decode<singleton::Resignation>(payload)) {
         catalog_poller_.OnResignation(now, *resignation);
       }
       break;
-    case wire::Kind::kProxyReport:
-      if (auto report = wire::Decode<rollout::ProxyReport>(payload)) {
+    case transport::Kind::kProxyReport:
+      if (auto report = transport::Decode<rollout::ProxyReport>(payload)) {
         rollouts_->OnProxyReport(from, *report);
       }
       break;
-    case wire::Kind::kVote:
-      if (auto vote = wire::Decode<rollout::Vote>(payload)) rollouts_->OnVote(now, *vote);
+    case transport::Kind::kVote:
+      if (auto vote = transport::Decode<rollout::Vote>(payload)) rollouts_->OnVote(now, *vote);
       break;
     default:
       break;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -15,7 +15,7 @@
 #include "controller/freshness_voucher.h"
 #include "controller/rollout_manager.h"
 #include "directory/directory.h"
-#include "wire/http_server.h"
+#include "http/http_server.h"
 
 namespace elderkeel::controller {
 
@@ -30,7 +30,7 @@
   void Terminate();
 
  private:
-  using Ticket = wire::HttpServer::Ticket;
+  using Ticket = http::HttpServer::Ticket;
 
   // configuration::ReplicatedLog
   bool HasCommittedInTerm() const override { return context_.HasCommittedInTerm(); }
@@ -64,14 +64,14 @@
   void OnJoin(const base::Address& from, const consensus::Member& member);
 
   // Calls over HTTP.
-  void OnRequest(Ticket ticket, wire::Message&& request);
-  void OnOperatorRequest(Ticket ticket, const wire::Message& request);
-  void OnRolloutReportRequest(Ticket ticket, const wire::Message& request);
-  void OnStatusRequest(Ticket ticket, const wire::Message& request);
-  void OnDiagnosisRequest(Ticket ticket, const wire::Message& request);
+  void OnRequest(Ticket ticket, http::Message&& request);
+  void OnOperatorRequest(Ticket ticket, const http::Message& request);
+  void OnRolloutReportRequest(Ticket ticket, const http::Message& request);
+  void OnStatusRequest(Ticket ticket, const http::Message& request);
+  void OnDiagnosisRequest(Ticket ticket, const http::Message& request);
   void RedirectToDurable(Ticket ticket, const std::string& target);
 
-  void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
+  void OnMessage(const base::Address& from, transport::Kind kind, std::string_view payload);
   void Tick();
   void StopWhenDeparted(base::Millis since);
 
@@ -84,9 +84,9 @@
   std::unique_ptr<DiagnosisService> diagnosis_;
   std::unique_ptr<RolloutManager> rollouts_;
   std::unique_ptr<configuration::OperatorApi> operator_api_;
-  std::unique_ptr<wire::HttpServer> control_server_;
+  std::unique_ptr<http::HttpServer> control_server_;
   std::unique_ptr<directory::Directory> directory_;
-  std::unique_ptr<wire::HttpServer> directory_server_;
+  std::unique_ptr<http::HttpServer> directory_server_;
   base::Timer tick_timer_;
   base::Timer start_timer_;
   base::Timer stop_timer_;
--- a/src/controller/diagnosis_service.cc
+++ b/src/controller/diagnosis_service.cc
@@ -10,11 +10,11 @@
 
 void DiagnosisService::Ask(Ticket ticket, const diagnosis::Question& question) {
   if (!context_->replica->started()) {
-    answer_(ticket, wire::OwnAnswer(503, "this controller has only just started"));
+    answer_(ticket, http::OwnAnswer(503, "this controller has only just started"));
     return;
   }
   if (pending_.size() >= kMaxPending) {
-    answer_(ticket, wire::OwnAnswer(503, "too many questions at once"));
+    answer_(ticket, http::OwnAnswer(503, "too many questions at once"));
     return;
   }
   base::Millis now = base::SteadyMillis();
@@ -54,14 +54,14 @@
     for (const std::string& target : pending->inquiry.Next(now)) {
       auto address = base::ParseAddress(target);
       if (!address) continue;
-      context_->node->mesh().Send(*address, wire::Kind::kQuery, pending->inquiry.query());
+      context_->node->mesh().Send(*address, transport::Kind::kQuery, pending->inquiry.query());
     }
     ++pending;
   }
 }
 
-wire::Message DiagnosisService::MakeAnswer(const diagnosis::Inquiry& inquiry) const {
-  wire::Message answer;
+http::Message DiagnosisService::MakeAnswer(const diagnosis::Inquiry& inquiry) const {
+  http::Message answer;
   answer.status = 200;
   answer.headers.push_back({"Content-Type", "application/json"});
   bool status = inquiry.about() == diagnosis::Question::About::kNode;
--- a/src/controller/diagnosis_service.h
+++ b/src/controller/diagnosis_service.h
@@ -6,7 +6,7 @@
 
 #include "controller/context.h"
 #include "diagnosis/diagnosis.h"
-#include "wire/http_server.h"
+#include "http/http_server.h"
 
 namespace elderkeel::controller {
 
@@ -14,8 +14,8 @@
 // no majority: whoever does not reply is named in the answer.
 class DiagnosisService {
  public:
-  using Ticket = wire::HttpServer::Ticket;
-  using Answer = std::function<void(Ticket, const wire::Message&)>;
+  using Ticket = http::HttpServer::Ticket;
+  using Answer = std::function<void(Ticket, const http::Message&)>;
   // Writes the answer to a question about the nodes' state.
   using WriteStatus = std::function<std::string(const diagnosis::Inquiry&)>;
 
@@ -34,7 +34,7 @@
     diagnosis::Inquiry inquiry;
   };
   std::vector<diagnosis::Target> TargetsOf(const diagnosis::Question& question) const;
-  wire::Message MakeAnswer(const diagnosis::Inquiry& inquiry) const;
+  http::Message MakeAnswer(const diagnosis::Inquiry& inquiry) const;
 
   Context* context_;
   WriteStatus write_status_;
--- a/src/controller/rollout_manager.cc
+++ b/src/controller/rollout_manager.cc
@@ -106,7 +106,7 @@
   bool observed = observer_.OnProxyReport(now, report);
   if (!observed || !report.wants_renewal || !context_->IsInContactWithLeader(now)) return;
   rollout::LeaseRenewal renewal{report.number, context_->state.rollouts.version(), report.asked_at};
-  context_->node->mesh().SendDatagram(from, wire::Kind::kLeaseRenewal, renewal);
+  context_->node->mesh().SendDatagram(from, transport::Kind::kLeaseRenewal, renewal);
 }
 
 void RolloutManager::SendVotes(base::Millis now) {
@@ -121,7 +121,7 @@
     if (context_->IsLeader()) {
       coordinator_.OnVote(now, vote);
     } else if (auto leader = context_->replica->raft().leader()) {
-      context_->node->mesh().Send(leader->address(), wire::Kind::kVote, vote);
+      context_->node->mesh().Send(leader->address(), transport::Kind::kVote, vote);
     }
   }
 }
--- a/src/diagnosis/console.cc
+++ b/src/diagnosis/console.cc
@@ -6,7 +6,7 @@
 #include <iostream>
 
 #include "base/loop.h"
-#include "wire/http_client.h"
+#include "http/http_client.h"
 
 namespace elderkeel::diagnosis {
 namespace {
@@ -17,19 +17,19 @@
 base::Result<std::string> Get(const base::Address& control, const std::string& target,
                               int hops = 2) {
   base::Loop loop;
-  wire::Limits limits;
+  http::Limits limits;
   limits.header_bytes = 64 << 10;
   limits.body_bytes = 16 << 20;
-  wire::HttpCall call(&loop, control, kTimeoutMs, limits);
-  wire::HttpConnection::Outcome result;
+  http::HttpCall call(&loop, control, kTimeoutMs, limits);
+  http::HttpConnection::Outcome result;
   call.Start("GET " + target + " HTTP/1.1\r\nHost: " + control.ToString() +
                  "\r\nConnection: close\r\n\r\n",
-             [&](wire::HttpConnection::Outcome&& outcome) {
+             [&](http::HttpConnection::Outcome&& outcome) {
                result = std::move(outcome);
                loop.Stop();
              });
   loop.Run();
-  if (result.ending != wire::HttpConnection::Ending::kAnswer) {
+  if (result.ending != http::HttpConnection::Ending::kAnswer) {
     return base::Failure(base::ErrorCode::kUnavailable, "call", control.ToString(), result.reason);
   }
   if (const std::string* location = result.answer.Find("Location");
--- a/src/diagnosis/diagnosis.cc
+++ b/src/diagnosis/diagnosis.cc
@@ -9,7 +9,7 @@
 #include <map>
 #include <set>
 
-#include "wire/http.h"
+#include "http/http.h"
 
 namespace elderkeel::diagnosis {
 namespace {
@@ -155,7 +155,7 @@
     } else if (key == "zone") {
       question.zone = value;
     } else if (key == "last-s") {
-      question.last_s = wire::ParseDecimal(value);
+      question.last_s = http::ParseDecimal(value);
       if (question.last_s < 1)
         return base::Failure(base::ErrorCode::kInvalidArgument, "failures", "",
                              "last-s: is no number above 0");
--- a/src/directory/directory.cc
+++ b/src/directory/directory.cc
@@ -142,20 +142,20 @@
   return choice;
 }
 
-wire::Message Directory::Answer(base::Millis now, const wire::Message& request) {
-  if (request.Path() != kPath) return wire::OwnAnswer(404, "no such path");
+http::Message Directory::Answer(base::Millis now, const http::Message& request) {
+  if (request.Path() != kPath) return http::OwnAnswer(404, "no such path");
   if (request.method != "GET") {
-    wire::Message answer = wire::OwnAnswer(405, "GET only");
+    http::Message answer = http::OwnAnswer(405, "GET only");
     answer.headers.push_back({"Allow", "GET"});
     return answer;
   }
   size_t query = request.target.find('?');
   auto resolution = Resolution::Parse(
       query == std::string::npos ? "" : std::string_view(request.target).substr(query + 1));
-  if (!resolution) return wire::OwnAnswer(400, resolution.error().reason);
+  if (!resolution) return http::OwnAnswer(400, resolution.error().reason);
   Choice choice = Choose(now, *resolution);
   if (choice.nodes.empty()) {
-    wire::Message answer = wire::OwnAnswer(503, "no proxy is known yet");
+    http::Message answer = http::OwnAnswer(503, "no proxy is known yet");
     answer.headers.push_back({"Retry-After", "0.2"});
     return answer;
   }
@@ -173,7 +173,7 @@
   // have to do so again at every turn.
   w.Int64(choice.elsewhere ? options_.ttl_most_s : options_.ttl_s);
   w.EndObject();
-  wire::Message answer;
+  http::Message answer;
   answer.status = 200;
   answer.headers.push_back({"Content-Type", "application/json"});
   answer.body = std::string(buffer.GetString(), buffer.GetSize());
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -7,8 +7,8 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "http/http.h"
 #include "membership/membership.h"
-#include "wire/http.h"
 
 namespace elderkeel::directory {
 
@@ -38,7 +38,7 @@
       : options_(options), members_(members), random_(seed), started_(now) {}
 
   static constexpr std::string_view kPath = "/elderkeel/resolution";
-  wire::Message Answer(base::Millis now, const wire::Message& request);
+  http::Message Answer(base::Millis now, const http::Message& request);
 
   struct Choice {
     std::vector<const membership::Node*>
--- a/src/discovery/endpoints.h
+++ b/src/discovery/endpoints.h
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::discovery {
 
@@ -35,8 +35,8 @@
   }
   template <class A>
   void serialize(A& a) {
-    a(wire::Short(id), wire::Short(service), wire::Short(address), wire::Short(zone),
-      wire::Short(revision), capacity, draining, warmup_left_ms);
+    a(transport::Short(id), transport::Short(service), transport::Short(address),
+      transport::Short(zone), transport::Short(revision), capacity, draining, warmup_left_ms);
   }
 
   static constexpr base::Millis kWarmSlackMs = 400;
--- a/src/discovery/platform_client.cc
+++ b/src/discovery/platform_client.cc
@@ -15,10 +15,10 @@
 void PlatformClient::Call(const std::string& target) {
   ++calls_;
   if (!connection_ || !connection_->Usable()) {
-    wire::Limits limits;
+    http::Limits limits;
     limits.header_bytes = 64 << 10;
     limits.body_bytes = 16 << 20;
-    connection_ = std::make_unique<wire::HttpConnection>(loop_, address_, kTimeoutMs, limits);
+    connection_ = std::make_unique<http::HttpConnection>(loop_, address_, kTimeoutMs, limits);
   }
   uint64_t call = ++current_;
   auto fail = [this](base::Error error) {
@@ -26,7 +26,7 @@
     timer_.Cancel();
     list_reader_.Abort();
     if (connection_) {
-      std::shared_ptr<wire::HttpConnection> last(std::move(connection_));
+      std::shared_ptr<http::HttpConnection> last(std::move(connection_));
       loop_->Defer([last] {});
     }
     Done done = std::move(done_);
@@ -36,10 +36,10 @@
     fail(base::Error{base::ErrorCode::kTimeout, "catalog.read", address_.ToString(), "timed out"});
   });
   connection_->Send("GET " + target + " HTTP/1.1\r\nHost: " + address_.ToString() + "\r\n\r\n",
-                    false, [this, fail, call](wire::HttpConnection::Outcome&& outcome) {
+                    false, [this, fail, call](http::HttpConnection::Outcome&& outcome) {
                       if (call != current_) return;
                       timer_.Cancel();
-                      if (outcome.ending != wire::HttpConnection::Ending::kAnswer) {
+                      if (outcome.ending != http::HttpConnection::Ending::kAnswer) {
                         fail(base::Error{base::ErrorCode::kUnavailable, "catalog.read",
                                          address_.ToString(), outcome.reason});
                         return;
--- a/src/discovery/platform_client.h
+++ b/src/discovery/platform_client.h
@@ -6,7 +6,7 @@
 
 #include "base/loop.h"
 #include "discovery/endpoints.h"
-#include "wire/http_client.h"
+#include "http/http_client.h"
 
 namespace elderkeel::discovery {
 
@@ -35,7 +35,7 @@
   base::Address address_;
   EndpointListReader list_reader_;
   Done done_;
-  std::unique_ptr<wire::HttpConnection> connection_;
+  std::unique_ptr<http::HttpConnection> connection_;
   base::Timer timer_;
   base::Millis asked_at_ = 0;  // of the reading under way
   uint64_t calls_ = 0;
--- a/src/forwarding/attempts.cc
+++ b/src/forwarding/attempts.cc
@@ -11,8 +11,8 @@
 namespace elderkeel::forwarding {
 namespace {
 
+using http::Message;
 using telemetry::Step;
-using wire::Message;
 
 constexpr base::Millis kMinRemainingMs = 2;    // an attempt with less is pointless
 constexpr size_t kMaxUnsentBytes = 256 << 10;  // of a streamed answer, towards the client
@@ -106,7 +106,7 @@
 }
 
 void RequestRouter::StartAttempt(PendingRequest* pending, const Attempt& attempt,
-                                 wire::HttpConnection* connection) {
+                                 http::HttpConnection* connection) {
   Ticket ticket = pending->ticket;
   uint64_t id = attempt.id;
   connection->Expect(kAttemptIdHeader, pending->attempt_id);
@@ -155,7 +155,7 @@
 // An answer too large to be held goes to the client as it comes, no faster than the client takes
 // it. From its first byte on there is no other attempt; if it is cut, the client's connection is
 // reset.
-wire::HttpConnection::BodySink RequestRouter::StreamAnswer(Ticket ticket, uint64_t attempt,
+http::HttpConnection::BodySink RequestRouter::StreamAnswer(Ticket ticket, uint64_t attempt,
                                                            const Message& so_far, int64_t length) {
   PendingRequest* pending = Find(ticket);
   if (!pending || !IsSuccess(so_far.status)) return nullptr;
@@ -178,7 +178,7 @@
 }
 
 RequestRouter::Verdict RequestRouter::Judge(const PendingRequest& pending, const Outcome& outcome) {
-  using Ending = wire::HttpConnection::Ending;
+  using Ending = http::HttpConnection::Ending;
   if (outcome.ending == Ending::kNotSent) {
     return {AttemptOutcome::kNotSent, Signal::kUnreachable, Step::kConnect, outcome.reason};
   }
--- a/src/forwarding/connection_pool.cc
+++ b/src/forwarding/connection_pool.cc
@@ -19,7 +19,7 @@
 constexpr double kMinConnections = 2;
 constexpr size_t kUnknownServiceConnections = 4;
 
-base::Millis KeepMs(const wire::HttpConnection& connection) {
+base::Millis KeepMs(const http::HttpConnection& connection) {
   return connection.keep_alive_ms() > 0 ? connection.keep_alive_ms() : kIdleMs;
 }
 
@@ -61,11 +61,11 @@
     Discard(server, std::move(pool.idle.front()));
     pool.idle.erase(pool.idle.begin());
   }
-  wire::Limits limits;
+  http::Limits limits;
   limits.header_bytes = kMaxHeaderBytes;
   limits.body_bytes = static_cast<size_t>(settings_->held_body_bytes);
   ++pool.open;
-  return std::make_unique<wire::HttpConnection>(loop_, balancer_->at(server).address,
+  return std::make_unique<http::HttpConnection>(loop_, balancer_->at(server).address,
                                                 settings_->connect_ms, limits);
 }
 
@@ -80,7 +80,7 @@
   Of(server).idle.push_back(std::move(connection));
 }
 
-void ConnectionPool::OnIdleLost(uint32_t server, const wire::HttpConnection* lost) {
+void ConnectionPool::OnIdleLost(uint32_t server, const http::HttpConnection* lost) {
   std::vector<Connection>& idle = Of(server).idle;
   auto found = std::find_if(idle.begin(), idle.end(),
                             [lost](const Connection& kept) { return kept.get() == lost; });
@@ -93,7 +93,7 @@
 void ConnectionPool::Discard(uint32_t server, Connection connection) {
   if (!connection) return;
   --Of(server).open;
-  std::shared_ptr<wire::HttpConnection> last(std::move(connection));
+  std::shared_ptr<http::HttpConnection> last(std::move(connection));
   loop_->Defer([last] {});
 }
 
--- a/src/forwarding/connection_pool.h
+++ b/src/forwarding/connection_pool.h
@@ -8,7 +8,7 @@
 #include "base/settings.h"
 #include "configuration/routing_table.h"
 #include "forwarding/load_balancer.h"
-#include "wire/http_client.h"
+#include "http/http_client.h"
 
 namespace elderkeel::forwarding {
 
@@ -16,7 +16,7 @@
 // included, stay within this proxy's share of what the service's configuration allows.
 class ConnectionPool {
  public:
-  using Connection = std::unique_ptr<wire::HttpConnection>;
+  using Connection = std::unique_ptr<http::HttpConnection>;
 
   // All outlive this object.
   ConnectionPool(base::Loop* loop, const base::Settings* settings, const LoadBalancer* balancer)
@@ -45,7 +45,7 @@
   ServerPool& Of(uint32_t server);
   Connection TakeIdle(uint32_t server, bool idempotent);
   size_t MaxConnections(const configuration::Service* service) const;
-  void OnIdleLost(uint32_t server, const wire::HttpConnection* lost);
+  void OnIdleLost(uint32_t server, const http::HttpConnection* lost);
 
   base::Loop* loop_;
   const base::Settings* settings_;
--- a/src/forwarding/health_prober.cc
+++ b/src/forwarding/health_prober.cc
@@ -23,26 +23,26 @@
     balancer_->OnProbeResult(base::SteadyMillis(), server, false);
     return;
   }
-  wire::Limits limits;
+  http::Limits limits;
   limits.header_bytes = kMaxHeaderBytes;
-  auto call = std::make_unique<wire::HttpCall>(loop_, state.address, kTimeoutMs, limits);
+  auto call = std::make_unique<http::HttpCall>(loop_, state.address, kTimeoutMs, limits);
   std::string bytes = "GET " + service->health_path +
                       " HTTP/1.1\r\nHost: " + state.address.ToString() + "\r\n" +
                       kExpectedServerHeader + ": " + state.id + "\r\nConnection: close\r\n\r\n";
-  call->Start(std::move(bytes), [this, server](wire::HttpConnection::Outcome&& outcome) {
+  call->Start(std::move(bytes), [this, server](http::HttpConnection::Outcome&& outcome) {
     OnOutcome(server, outcome);
   });
   probes_[server] = std::move(call);
 }
 
-void HealthProber::OnOutcome(uint32_t server, const wire::HttpConnection::Outcome& outcome) {
-  const wire::Message& answer = outcome.answer;
+void HealthProber::OnOutcome(uint32_t server, const http::HttpConnection::Outcome& outcome) {
+  const http::Message& answer = outcome.answer;
   const std::string* id = answer.Find(kServerIdHeader);
-  bool healthy = outcome.ending == wire::HttpConnection::Ending::kAnswer && answer.status == 200 &&
+  bool healthy = outcome.ending == http::HttpConnection::Ending::kAnswer && answer.status == 200 &&
                  id && *id == balancer_->at(server).id;
   base::Millis now = base::SteadyMillis();
   if (const std::string* left = answer.Find(kWarmupHeader); healthy && left) {
-    balancer_->NoteWarmup(now, server, std::max<int64_t>(0, wire::ParseDecimal(*left)));
+    balancer_->NoteWarmup(now, server, std::max<int64_t>(0, http::ParseDecimal(*left)));
   }
   balancer_->OnProbeResult(now, server, healthy);
   telemetry::ControlRecord record;
@@ -51,7 +51,7 @@
   record.good = healthy;
   recorder_->Control(record);
   // It may be on the stack of its own callback.
-  std::shared_ptr<wire::HttpCall> last(std::move(probes_[server]));
+  std::shared_ptr<http::HttpCall> last(std::move(probes_[server]));
   probes_.erase(server);
   loop_->Defer([last] {});
   done_(balancer_->at(server).service);
--- a/src/forwarding/health_prober.h
+++ b/src/forwarding/health_prober.h
@@ -8,8 +8,8 @@
 #include "base/loop.h"
 #include "configuration/routing_table.h"
 #include "forwarding/load_balancer.h"
+#include "http/http_client.h"
 #include "telemetry/recorder.h"
-#include "wire/http_client.h"
 
 namespace elderkeel::forwarding {
 
@@ -28,13 +28,13 @@
 
  private:
   void Probe(uint32_t server, const configuration::RoutingTable* table);
-  void OnOutcome(uint32_t server, const wire::HttpConnection::Outcome& outcome);
+  void OnOutcome(uint32_t server, const http::HttpConnection::Outcome& outcome);
 
   base::Loop* loop_;
   LoadBalancer* balancer_;
   telemetry::Recorder* recorder_;
   Done done_;
-  std::unordered_map<uint32_t, std::unique_ptr<wire::HttpCall>> probes_;  // by server
+  std::unordered_map<uint32_t, std::unique_ptr<http::HttpCall>> probes_;  // by server
 };
 
 }  // namespace elderkeel::forwarding
--- a/src/forwarding/pending_request.h
+++ b/src/forwarding/pending_request.h
@@ -8,9 +8,9 @@
 #include "base/loop.h"
 #include "configuration/routing_table.h"
 #include "forwarding/attempt_log.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
 #include "telemetry/recorder.h"
-#include "wire/http_client.h"
-#include "wire/http_server.h"
 
 namespace elderkeel::forwarding {
 
@@ -22,15 +22,15 @@
   base::Millis sent_at = 0;
   base::Millis late_after = 0;  // how long it may take without being late
   bool timed = false;           // its time says something of its server's version
-  std::unique_ptr<wire::HttpConnection> connection;
+  std::unique_ptr<http::HttpConnection> connection;
 };
 
 // A request that a client waits for, from its head on until its final answer.
 struct PendingRequest {
   PendingRequest(bool idempotent, int max_attempts) : attempt_log(idempotent, max_attempts) {}
 
-  wire::HttpServer::Ticket ticket = 0;
-  wire::Message request;
+  http::HttpServer::Ticket ticket = 0;
+  http::Message request;
   std::shared_ptr<const configuration::RoutingTable> table;  // pinned when the head was read
   const configuration::Route* route = nullptr;               // of that table
   uint32_t route_index = 0;
@@ -47,7 +47,7 @@
   std::vector<Attempt> attempts;  // those in flight
   std::vector<uint32_t> tried;    // servers
   uint64_t streaming = 0;         // the attempt whose answer is passed on as it comes; 0 for none
-  std::unique_ptr<wire::Message> server_failure;  // a server's own, if nothing better comes
+  std::unique_ptr<http::Message> server_failure;  // a server's own, if nothing better comes
   uint32_t last_server = UINT32_MAX;
   telemetry::Step last_step = telemetry::Step::kNone;
   std::string last_reason;
--- a/src/forwarding/request_completion.cc
+++ b/src/forwarding/request_completion.cc
@@ -11,8 +11,8 @@
 namespace elderkeel::forwarding {
 namespace {
 
+using http::Message;
 using telemetry::Step;
-using wire::Message;
 
 }  // namespace
 
@@ -26,7 +26,7 @@
   // Asked before the attempts are dropped: one that is still in flight may run.
   int status = deadline ? 504 : 502;
   if (pending->attempt_log.IsCertainlyNotRun()) status = 503;
-  Message answer = wire::OwnAnswer(status, cause.reason);
+  Message answer = http::OwnAnswer(status, cause.reason);
   if (status == 503) answer.headers.push_back({"Retry-After", kRetryAfter});
   Finish(pending, answer, cause, true);
 }
--- a/src/forwarding/request_router.cc
+++ b/src/forwarding/request_router.cc
@@ -10,10 +10,10 @@
 namespace elderkeel::forwarding {
 namespace {
 
+using http::Message;
 using telemetry::ControlRecord;
 using telemetry::NameTable;
 using telemetry::Step;
-using wire::Message;
 
 constexpr base::Millis kTickMs = 100;
 constexpr size_t kPipeline = 8;  // requests of one connection under way at once
@@ -43,10 +43,10 @@
   return options;
 }
 
-wire::HttpServer::Options ServerOptions(const base::Settings& settings,
-                                        std::function<wire::Limits()> limits,
+http::HttpServer::Options ServerOptions(const base::Settings& settings,
+                                        std::function<http::Limits()> limits,
                                         std::function<bool(const Message&)> may_run_out_of_order) {
-  wire::HttpServer::Options options;
+  http::HttpServer::Options options;
   options.limits = std::move(limits);
   options.pipeline = kPipeline;
   options.may_run_out_of_order = std::move(may_run_out_of_order);
@@ -65,7 +65,7 @@
 // The milliseconds that the client gives; -1 if malformed, no bound if it states none.
 int64_t StatedRemaining(const Message& request) {
   const std::string* text = request.Find(kRemainingHeader);
-  return text ? wire::ParseDecimal(*text) : INT64_MAX;
+  return text ? http::ParseDecimal(*text) : INT64_MAX;
 }
 
 }  // namespace
@@ -81,7 +81,7 @@
       budget_(RetryBudgetBounds(settings)),
       server_(loop,
               ServerOptions(
-                  settings, [this] { return table_ ? table_->limits() : wire::Limits(); },
+                  settings, [this] { return table_ ? table_->limits() : http::Limits(); },
                   [this](const Message& request) { return MayRunOutOfOrder(request); }),
               [this](Ticket ticket, Message&& request) { OnRequest(ticket, std::move(request)); }),
       connections_(loop, &settings, &balancer_),
@@ -225,7 +225,7 @@
 
 void RequestRouter::Reject(Ticket ticket, const Rejection& rejection,
                            const std::string& attempt_id) {
-  Message answer = wire::OwnAnswer(rejection.status, rejection.reason);
+  Message answer = http::OwnAnswer(rejection.status, rejection.reason);
   if (rejection.status == 503) {
     answer.headers.push_back({"Retry-After", serving_ ? kRetryAfter : kStartRetryAfter});
   }
--- a/src/forwarding/request_router.h
+++ b/src/forwarding/request_router.h
@@ -20,9 +20,9 @@
 #include "forwarding/request_queue.h"
 #include "forwarding/retry_budget.h"
 #include "forwarding/version_routing.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
 #include "telemetry/recorder.h"
-#include "wire/http_client.h"
-#include "wire/http_server.h"
 #include "zone_drain/drained_zones.h"
 
 namespace elderkeel::forwarding {
@@ -99,7 +99,7 @@
   // Clients that connect are refused, so that there is an end to those that are here.
   void StopListening() { server_.StopListening(); }
   size_t busy() const { return server_.busy(); }
-  wire::HttpServer::Occupancy GetOccupancy() const { return server_.GetOccupancy(); }
+  http::HttpServer::Occupancy GetOccupancy() const { return server_.GetOccupancy(); }
   // Requests that have no final answer yet.
   struct InFlight {
     size_t requests = 0;
@@ -117,8 +117,8 @@
   base::Names* regions() { return &regions_; }
 
  private:
-  using Ticket = wire::HttpServer::Ticket;
-  using Outcome = wire::HttpConnection::Outcome;
+  using Ticket = http::HttpServer::Ticket;
+  using Outcome = http::HttpConnection::Outcome;
 
   // How an attempt ended, for the request and for its server.
   struct Verdict {
@@ -137,20 +137,20 @@
   static constexpr const char* kEnding = "this node ends";
 
   // Admission.
-  void OnRequest(Ticket ticket, wire::Message&& request);
+  void OnRequest(Ticket ticket, http::Message&& request);
   // The answer that rejects a request, if any.
   struct Rejection {
     int status = 0;  // 0: none
     const char* reason = "";
   };
   Rejection RejectionOfState() const;
-  Rejection RejectionOf(const wire::Message& request, const std::string& attempt_id,
+  Rejection RejectionOf(const http::Message& request, const std::string& attempt_id,
                         const configuration::Route* route, int64_t remaining_ms) const;
   void Reject(Ticket ticket, const Rejection& rejection, const std::string& attempt_id);
-  PendingRequest* Admit(Ticket ticket, wire::Message&& request, const configuration::Route& route,
+  PendingRequest* Admit(Ticket ticket, http::Message&& request, const configuration::Route& route,
                         base::Millis remaining_ms);
-  const configuration::Route* MatchRoute(const wire::Message& request) const;
-  bool MayRunOutOfOrder(const wire::Message& request) const;
+  const configuration::Route* MatchRoute(const http::Message& request) const;
+  bool MayRunOutOfOrder(const http::Message& request) const;
   PendingRequest* Find(Ticket ticket);
 
   // Attempts.
@@ -162,18 +162,18 @@
   // False if there may be no more connections to that server.
   bool SendTo(PendingRequest* pending, uint32_t server);
   void StartAttempt(PendingRequest* pending, const Attempt& attempt,
-                    wire::HttpConnection* connection);
+                    http::HttpConnection* connection);
   void ScheduleHedge(PendingRequest* pending, const Attempt& attempt);
   void SendHedge(PendingRequest* pending);
-  wire::HttpConnection::BodySink StreamAnswer(Ticket ticket, uint64_t attempt,
-                                              const wire::Message& so_far, int64_t length);
+  http::HttpConnection::BodySink StreamAnswer(Ticket ticket, uint64_t attempt,
+                                              const http::Message& so_far, int64_t length);
   void OnOutcome(Ticket ticket, uint64_t attempt, Outcome&& outcome);
   static Verdict Judge(const PendingRequest& pending, const Outcome& outcome);
   // Tells all that learn from it how the attempt ended. Takes its connection.
   void SettleAttempt(base::Millis now, PendingRequest* pending, Attempt* attempt,
                      const Verdict& verdict, int status);
   void NoteAttemptEnded(base::Millis now, uint32_t server);
-  void OnServerAnswer(PendingRequest* pending, const wire::Message& answer, Verdict* verdict);
+  void OnServerAnswer(PendingRequest* pending, const http::Message& answer, Verdict* verdict);
   void FinishStream(PendingRequest* pending, int status, const Verdict& verdict);
   void HandleAttemptFailure(PendingRequest* pending);
   // Gives up what is in flight, but for the attempt `except`.
@@ -190,7 +190,7 @@
   void OnTimer(Ticket ticket);
 
   // Completion.
-  void Finish(PendingRequest* pending, const wire::Message& answer, const Cause& cause,
+  void Finish(PendingRequest* pending, const http::Message& answer, const Cause& cause,
               bool failed);
   void FailRequest(PendingRequest* pending, const Cause& cause, bool deadline);
   void Record(const PendingRequest& pending, int status, const Cause& cause, bool failed);
@@ -220,7 +220,7 @@
   LoadSharing load_sharing_;
   VersionRouting version_routing_;
   RetryBudget budget_;
-  wire::HttpServer server_;
+  http::HttpServer server_;
   ConnectionPool connections_;
   HealthProber prober_;
   std::vector<double> mean_ms_;  // by route: of its latency at the servers, EWMA
--- a/src/forwarding/server_messages.cc
+++ b/src/forwarding/server_messages.cc
@@ -10,17 +10,17 @@
 
 bool IsOwnHeader(std::string_view name) {
   std::string_view prefix = kOwnHeaderPrefix;
-  return name.size() > prefix.size() && wire::EqualNoCase(name.substr(0, prefix.size()), prefix);
+  return name.size() > prefix.size() && http::EqualNoCase(name.substr(0, prefix.size()), prefix);
 }
 
 // Headers that are written anew for the server.
 bool IsReplaced(const std::string& name) {
-  return wire::EqualNoCase(name, kRemainingHeader) ||
-         wire::EqualNoCase(name, kExpectedServerHeader) || wire::EqualNoCase(name, "Expect");
+  return http::EqualNoCase(name, kRemainingHeader) ||
+         http::EqualNoCase(name, kExpectedServerHeader) || http::EqualNoCase(name, "Expect");
 }
 
 bool IsLength(const std::string& name) {
-  return wire::EqualNoCase(name, "Content-Length") || wire::EqualNoCase(name, "Transfer-Encoding");
+  return http::EqualNoCase(name, "Content-Length") || http::EqualNoCase(name, "Transfer-Encoding");
 }
 
 void AppendHeader(std::string_view name, std::string_view value, std::string* out) {
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-std::string SerializeRequest(const wire::Message& request, const std::string& server_id,
+std::string SerializeRequest(const http::Message& request, const std::string& server_id,
                              base::Millis remaining_ms) {
   std::string out;
   out.reserve(512 + request.body.size());
@@ -37,13 +37,13 @@
   const std::string* named = request.Find("Connection");
   std::string_view connection = named ? std::string_view(*named) : std::string_view();
   bool has_length = false;
-  for (const wire::Header& header : request.headers) {
+  for (const http::Header& header : request.headers) {
     if (IsReplaced(header.name)) continue;
     if (IsLength(header.name)) {
       has_length = true;
       continue;
     }
-    if (!IsOwnHeader(header.name) && wire::IsHopByHop(header.name, connection)) continue;
+    if (!IsOwnHeader(header.name) && http::IsHopByHop(header.name, connection)) continue;
     AppendHeader(header.name, header.value, &out);
   }
   AppendHeader(kRemainingHeader, std::to_string(std::max<base::Millis>(1, remaining_ms)), &out);
@@ -55,7 +55,7 @@
   return out;
 }
 
-std::string FaultOfAnswer(const wire::Message& answer, const std::string& attempt_id) {
+std::string FaultOfAnswer(const http::Message& answer, const std::string& attempt_id) {
   if (!IsSuccess(answer.status)) return "";
   if (!answer.Find(kSealHeader)) return "no seal";
   const std::string* id = answer.Find(kAttemptIdHeader);
@@ -64,7 +64,7 @@
   return "";
 }
 
-bool SaysNotRun(const wire::Message& answer) {
+bool SaysNotRun(const http::Message& answer) {
   bool says = answer.status == 421 || answer.Find(kNotExecutedHeader) != nullptr;
   return says && !IsSuccess(answer.status);
 }
--- a/src/wire/http.cc
+++ b/src/http/http.cc
@@ -1,9 +1,9 @@
-#include "wire/http.h"
+#include "http/http.h"
 
 #include <algorithm>
 #include <cctype>
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 namespace {
 
 constexpr size_t kMaxHeaders = 256;
@@ -424,4 +424,4 @@
   return answer;
 }
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/src/wire/http.h
+++ b/src/http/http.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 
 bool EqualNoCase(std::string_view a, std::string_view b);
 // Whole decimal number without sign or space; -1 when it is none or above 2^53.
@@ -124,4 +124,4 @@
 // An answer of our own, with a small JSON body that says why.
 Message OwnAnswer(int status, std::string_view reason);
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/src/wire/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,15 +1,15 @@
-#include "wire/http_client.h"
+#include "http/http_client.h"
 
 #include <sys/socket.h>
 
 #include <cerrno>
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 
 HttpConnection::HttpConnection(base::Loop* loop, const base::Address& address,
                                base::Millis connect_ms, const Limits& limits)
     : loop_(loop), address_(address), limits_(limits), reader_(HTTP_RESPONSE) {
-  int fd = StartConnect(address, 5000);
+  int fd = transport::StartConnect(address, 5000);
   if (fd < 0) {
     closed_ = true;
     return;
@@ -214,4 +214,4 @@
   });
 }
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/src/wire/http_client.h
+++ b/src/http/http_client.h
@@ -4,10 +4,10 @@
 #include <memory>
 #include <string>
 
-#include "wire/http.h"
-#include "wire/socket.h"
+#include "http/http.h"
+#include "transport/socket.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 
 // One connection to a server, carrying one request at a time.
 class HttpConnection {
@@ -75,7 +75,7 @@
   base::Loop* loop_;
   base::Address address_;
   Limits limits_;
-  BuffereventPtr socket_;
+  transport::BuffereventPtr socket_;
   base::Timer connect_timer_;
   MessageReader reader_;
   Done done_;
@@ -110,4 +110,4 @@
   HttpConnection::Done done_;
 };
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/src/wire/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,4 +1,4 @@
-#include "wire/http_server.h"
+#include "http/http_server.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,7 +11,7 @@
 
 #include "base/log.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 namespace {
 constexpr base::Millis kLingerMs = 1000;
 constexpr base::Millis kAwakeEveryMs = 100;
@@ -31,8 +31,8 @@
   std::unique_ptr<Message> answer;  // held whole until its turn
   enum class Stream { kNone, kOpen, kEnded } stream = Stream::kNone;
   bool chunks = false;
-  EvbufferPtr buffered;   // of a streamed answer, until its turn
-  size_t body_bytes = 0;  // of the request, in the server's sum until the answer's turn
+  transport::EvbufferPtr buffered;  // of a streamed answer, until its turn
+  size_t body_bytes = 0;            // of the request, in the server's sum until the answer's turn
 };
 
 struct HttpServer::Connection {
@@ -40,7 +40,7 @@
 
   HttpServer* server;
   uint64_t id = 0;
-  BuffereventPtr socket;
+  transport::BuffereventPtr socket;
   MessageReader reader;
   base::Timer timer;
   enum class Clock { kNone, kIdle, kHeader, kBody } clock = Clock::kNone;
@@ -86,7 +86,7 @@
     close(fd);
     return;
   }
-  TuneSocket(fd, 10000);
+  transport::TuneSocket(fd, 10000);
   auto connection = std::make_unique<Connection>(this);
   Connection* c = connection.get();
   c->id = next_id_++;
@@ -465,4 +465,4 @@
   return occupancy;
 }
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/src/wire/http_server.h
+++ b/src/http/http_server.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <unordered_map>
 
-#include "wire/http.h"
-#include "wire/socket.h"
+#include "http/http.h"
+#include "transport/socket.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 
 // Serves one HTTP listener. Requests come whole; each is answered once through its ticket, now or
 // later. Of pipelined requests some may be begun ahead of their turn; the answers keep the order.
@@ -106,7 +106,7 @@
   GoneHandler gone_;
   std::function<void(Ticket)> drained_;
   RefusedHandler refused_;
-  Listener listener_;
+  transport::Listener listener_;
   std::unordered_map<uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<Ticket, Connection*> waiting_;
   uint64_t next_id_ = 1;
@@ -118,4 +118,4 @@
   base::Millis slept_until_ = 0;  // till then, what is read may have waited through a sleep
 };
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/src/membership/node.h
+++ b/src/membership/node.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/settings.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::membership {
 
@@ -40,8 +40,8 @@
   uint32_t ViewDigest() const;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, wire::Short(ip), port, program, wire::Short(zone), boot_id, incarnation, state,
-            suspecters, front, ready, durable);
+    archive(id, transport::Short(ip), port, program, transport::Short(zone), boot_id, incarnation,
+            state, suspecters, front, ready, durable);
   }
 };
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -97,9 +97,8 @@
     router_->MergeLoadReport(report);
   };
   callbacks.node_changed = [this](const membership::Node&) { nodes_changed_ = true; };
-  callbacks.message = [this](const base::Address& from, wire::Kind kind, std::string_view payload) {
-    OnMessage(from, kind, payload);
-  };
+  callbacks.message = [this](const base::Address& from, transport::Kind kind,
+                             std::string_view payload) { OnMessage(from, kind, payload); };
   node_ = std::make_unique<cluster::ClusterNode>(loop_, settings_, membership::Program::kProxy,
                                                  std::move(callbacks));
   confirmation_ = std::make_unique<StartupConfirmation>(loop_, &settings_, node_.get(),
@@ -109,20 +108,20 @@
 }
 
 base::Status Proxy::StartReadinessServer() {
-  wire::HttpServer::Options options;
-  options.limits = [] { return wire::Limits(); };
+  http::HttpServer::Options options;
+  options.limits = [] { return http::Limits(); };
   options.max_connections = kMaxReadinessConnections;
-  readiness_server_ = std::make_unique<wire::HttpServer>(
-      loop_, options, [this](wire::HttpServer::Ticket ticket, wire::Message&& request) {
+  readiness_server_ = std::make_unique<http::HttpServer>(
+      loop_, options, [this](http::HttpServer::Ticket ticket, http::Message&& request) {
         readiness_server_->Answer(ticket, AnswerReadiness(request));
       });
   return readiness_server_->Listen(settings_.readiness);
 }
 
-wire::Message Proxy::AnswerReadiness(const wire::Message& request) const {
-  if (request.Path() != "/elderkeel/ready") return wire::OwnAnswer(404, "no such path");
-  if (!lifecycle_.IsReady(base::SteadyMillis())) return wire::OwnAnswer(503, "not ready");
-  wire::Message answer = wire::OwnAnswer(200, "");
+http::Message Proxy::AnswerReadiness(const http::Message& request) const {
+  if (request.Path() != "/elderkeel/ready") return http::OwnAnswer(404, "no such path");
+  if (!lifecycle_.IsReady(base::SteadyMillis())) return http::OwnAnswer(503, "not ready");
+  http::Message answer = http::OwnAnswer(200, "");
   answer.body = "{}";
   return answer;
 }
@@ -174,19 +173,19 @@
   router_->SetZoneProxies(zone_proxies);
 }
 
-void Proxy::OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload) {
+void Proxy::OnMessage(const base::Address& from, transport::Kind kind, std::string_view payload) {
   switch (kind) {
-    case wire::Kind::kQuery:
-      if (auto query = wire::Decode<diagnosis::Query>(payload)) OnQuery(from, *query);
+    case transport::Kind::kQuery:
+      if (auto query = transport::Decode<diagnosis::Query>(payload)) OnQuery(from, *query);
       break;
-    case wire::Kind::kLeaseRenewal:
-      if (auto renewal = wire::Decode<rollout::LeaseRenewal>(payload)) {
+    case transport::Kind::kLeaseRenewal:
+      if (auto renewal = transport::Decode<rollout::LeaseRenewal>(payload)) {
         router_->OnLeaseRenewal(*renewal);
         node_->OnRolloutVersion(from, renewal->version);
       }
       break;
-    case wire::Kind::kConfirmReply:
-      if (auto reply = wire::Decode<dissemination::ConfirmReply>(payload)) {
+    case transport::Kind::kConfirmReply:
+      if (auto reply = transport::Decode<dissemination::ConfirmReply>(payload)) {
         confirmation_->OnReply(base::SteadyMillis(), *reply);
       }
       break;
@@ -214,7 +213,7 @@
 
 void Proxy::OnQuery(const base::Address& from, const diagnosis::Query& query) {
   if (query.about == diagnosis::Question::About::kNode) {
-    node_->mesh().Send(from, wire::Kind::kQueryReply, DescribeState(query.nonce));
+    node_->mesh().Send(from, transport::Kind::kQueryReply, DescribeState(query.nonce));
     return;
   }
   // Taken and searched on the exporter's thread; only the reply comes back to this one.
@@ -234,7 +233,7 @@
     reply.node = settings_.node_name;
     reply.wall_us = (base::WallNanos() - base::SteadyNanos()) / 1000;
     loop_->Post([this, from, reply = std::move(reply)] {
-      node_->mesh().Send(from, wire::Kind::kQueryReply, reply);
+      node_->mesh().Send(from, transport::Kind::kQueryReply, reply);
     });
   });
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -9,13 +9,13 @@
 #include "cluster/cluster_node.h"
 #include "diagnosis/diagnosis.h"
 #include "forwarding/request_router.h"
+#include "http/http_server.h"
 #include "lifecycle/lifecycle.h"
 #include "proxy/fallback_reader.h"
 #include "proxy/rollout_reporter.h"
 #include "proxy/shutdown.h"
 #include "proxy/startup_confirmation.h"
 #include "telemetry/recorder.h"
-#include "wire/http_server.h"
 
 namespace elderkeel::proxy {
 
@@ -39,10 +39,10 @@
 
   void ApplyConfiguration();
   void OnNodesChanged();
-  void OnMessage(const base::Address& from, wire::Kind kind, std::string_view payload);
+  void OnMessage(const base::Address& from, transport::Kind kind, std::string_view payload);
   void OnQuery(const base::Address& from, const diagnosis::Query& query);
   diagnosis::Reply DescribeState(uint64_t nonce) const;
-  wire::Message AnswerReadiness(const wire::Message& request) const;
+  http::Message AnswerReadiness(const http::Message& request) const;
   void Tick();
   // Carries out the phase of the shutdown that is due, and waits for the next.
   void ShutDown();
@@ -57,7 +57,7 @@
   std::unique_ptr<StartupConfirmation> confirmation_;
   std::unique_ptr<FallbackReader> fallback_reader_;
   std::unique_ptr<RolloutReporter> rollout_reporter_;
-  std::unique_ptr<wire::HttpServer> readiness_server_;
+  std::unique_ptr<http::HttpServer> readiness_server_;
   bool nodes_changed_ = true;  // since the router was updated
   base::Timer tick_timer_;
   ShutdownLog shutdown_log_;
--- a/src/proxy/rollout_reporter.cc
+++ b/src/proxy/rollout_reporter.cc
@@ -24,11 +24,11 @@
     report.boot_id = membership.self().boot_id;
     report.wants_renewal = wants_renewal;
     report.asked_at = now;
-    std::string bytes = wire::Encode(report);
+    std::string bytes = transport::Encode(report);
     for (uint64_t observer : observers) {
       auto node = membership.nodes().find(observer);
       if (node == membership.nodes().end()) continue;
-      node_->SendSmall(node->second.address(), wire::Kind::kProxyReport, bytes);
+      node_->SendSmall(node->second.address(), transport::Kind::kProxyReport, bytes);
     }
   }
 }
--- a/src/proxy/shutdown.cc
+++ b/src/proxy/shutdown.cc
@@ -35,7 +35,7 @@
   if (phase == phase_ && now < next_at_) return;
   phase_ = phase;
   next_at_ = now + kLogEveryMs;
-  wire::HttpServer::Occupancy occupancy = router.GetOccupancy();
+  http::HttpServer::Occupancy occupancy = router.GetOccupancy();
   forwarding::RequestRouter::InFlight in_flight = router.GetInFlight();
   base::Info("shutdown.phase", {{"phase", lifecycle::PhaseName(phase)},
                                 {"elapsed_ms", elapsed},
--- a/src/proxy/startup_confirmation.cc
+++ b/src/proxy/startup_confirmation.cc
@@ -65,7 +65,7 @@
   const base::Address& to = controllers[next_controller_++ % controllers.size()];
   if (now >= confirm_at_) {
     confirm_at_ = now + kConfirmEveryMs;
-    node_->mesh().Send(to, wire::Kind::kConfirm, confirmation_.Ask(now));
+    node_->mesh().Send(to, transport::Kind::kConfirm, confirmation_.Ask(now));
   }
   // What it lacks it asks of the first that says to have it: the whole of it is large, and must not
   // come from several at once.
@@ -83,7 +83,7 @@
 
 void StartupConfirmation::OnReply(base::Millis now, const dissemination::ConfirmReply& reply) {
   if (auto leader = confirmation_.OnReply(now, reply)) {
-    node_->mesh().Send(*leader, wire::Kind::kConfirm, dissemination::Confirm{reply.nonce});
+    node_->mesh().Send(*leader, transport::Kind::kConfirm, dissemination::Confirm{reply.nonce});
   }
   Review(now);
 }
--- a/src/wire/frame.h
+++ b/src/transport/frame.h
@@ -14,7 +14,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace elderkeel::wire {
+namespace elderkeel::transport {
 
 // The kinds of message that our own processes send each other. One byte on the wire.
 enum class Kind : uint8_t {
@@ -136,4 +136,4 @@
   }
 }
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::transport
--- a/src/wire/mesh.cc
+++ b/src/transport/mesh.cc
@@ -1,4 +1,4 @@
-#include "wire/mesh.h"
+#include "transport/mesh.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -13,7 +13,7 @@
 #include "base/log.h"
 #include "base/random.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::transport {
 namespace {
 
 constexpr int kUserTimeoutMs = 2000;
@@ -261,4 +261,4 @@
   }
 }
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::transport
--- a/src/wire/mesh.h
+++ b/src/transport/mesh.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <string_view>
 
-#include "wire/frame.h"
-#include "wire/socket.h"
+#include "transport/frame.h"
+#include "transport/socket.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::transport {
 
 // Messages between our own processes: frames over TCP for what is large or must keep its order,
 // datagrams for what is small and may be lost. A process is known by the address that it listens
@@ -61,4 +61,4 @@
   uint64_t unlogged_drops_ = 0;
 };
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::transport
--- a/src/wire/socket.cc
+++ b/src/transport/socket.cc
@@ -1,4 +1,4 @@
-#include "wire/socket.h"
+#include "transport/socket.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -11,7 +11,7 @@
 
 #include "base/log.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::transport {
 namespace {
 
 bool Fill(const base::Address& address, sockaddr_in* out) {
@@ -81,4 +81,4 @@
   return {};
 }
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::transport
--- a/src/wire/socket.h
+++ b/src/transport/socket.h
@@ -11,7 +11,7 @@
 #include "base/loop.h"
 #include "base/settings.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::transport {
 
 struct BuffereventFree {
   void operator()(bufferevent* b) const { bufferevent_free(b); }
@@ -48,4 +48,4 @@
   Accept accept_;
 };
 
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::transport
--- a/tests/compatibility/golden_test.cc
+++ b/tests/compatibility/golden_test.cc
@@ -21,7 +21,7 @@
 #include "rollout/messages.h"
 #include "rollout/rollouts.h"
 #include "singleton/assigner.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel {
 namespace {
@@ -39,7 +39,7 @@
   void Add(const std::string& name, const std::string& text) { text_ += name + " " + text + "\n"; }
   template <class Message>
   void AddEncoded(const std::string& name, const Message& message) {
-    std::string bytes = wire::Encode(message);
+    std::string bytes = transport::Encode(message);
     std::string hex;
     for (unsigned char byte : bytes) {
       constexpr char kDigits[] = "0123456789abcdef";
@@ -48,9 +48,9 @@
     }
     Add(name, hex);
     // What was encoded is read back as the same.
-    auto decoded = wire::Decode<Message>(bytes);
+    auto decoded = transport::Decode<Message>(bytes);
     ASSERT_TRUE(decoded.has_value()) << name;
-    EXPECT_EQ(wire::Encode(*decoded), bytes) << name;
+    EXPECT_EQ(transport::Encode(*decoded), bytes) << name;
   }
 
  private:
@@ -320,12 +320,12 @@
 template <class Message>
 void CheckLaterFields(Golden* golden, const std::string& name, const Message& before,
                       const Message& with) {
-  std::string bytes = wire::Encode(with);
-  EXPECT_EQ(bytes.substr(0, wire::Encode(before).size()), wire::Encode(before)) << name;
-  auto decoded = wire::Decode<Message>(wire::Encode(before));
+  std::string bytes = transport::Encode(with);
+  EXPECT_EQ(bytes.substr(0, transport::Encode(before).size()), transport::Encode(before)) << name;
+  auto decoded = transport::Decode<Message>(transport::Encode(before));
   ASSERT_TRUE(decoded.has_value()) << name;
   EXPECT_FALSE(decoded->has_later_fields()) << name;
-  EXPECT_FALSE(wire::Decode<Message>(bytes.substr(0, bytes.size() - 1)).has_value()) << name;
+  EXPECT_FALSE(transport::Decode<Message>(bytes.substr(0, bytes.size() - 1)).has_value()) << name;
   golden->AddEncoded(name, with);
 }
 
@@ -351,7 +351,7 @@
 }
 
 TEST(Golden, FrameKinds) {
-  using wire::Kind;
+  using transport::Kind;
   const std::vector<Kind> kinds = {
       Kind::kConsensus,           Kind::kJoin,           Kind::kMembershipUpdate,
       Kind::kHeartbeat,           Kind::kDigest,         Kind::kPullRequest,
--- a/tests/configuration/configuration_test.cc
+++ b/tests/configuration/configuration_test.cc
@@ -191,7 +191,7 @@
       {"unreadable and old", {false, 0, "{"}, 400},
       {"the next", Small(last, last + 1, "a"), 0},
   };
-  auto read = wire::Decode<ConfigurationState>(wire::Encode(state));
+  auto read = transport::Decode<ConfigurationState>(transport::Encode(state));
   ASSERT_TRUE(read);
   for (const Case& c : cases) {
     EXPECT_EQ(state.Evaluate(c.change).status, c.status) << c.name;
@@ -220,8 +220,8 @@
         5, newest.patch ? 3 : 0, Small(3, 5, "a").body, newest, {7, 8}};
     // What follows the register in a snapshot must still be found.
     auto state = controller::ControlState::Decode(
-        wire::Encode(before) + wire::Encode(singleton::Assignment{5, 6, 7}) +
-        wire::Encode(zone_drain::DrainedZones()) + wire::Encode(rollout::Rollouts()));
+        transport::Encode(before) + transport::Encode(singleton::Assignment{5, 6, 7}) +
+        transport::Encode(zone_drain::DrainedZones()) + transport::Encode(rollout::Rollouts()));
     ASSERT_TRUE(state);
     const ConfigurationState& read = state->configuration;
     EXPECT_EQ(read.revision(), 5);
@@ -234,7 +234,8 @@
     EXPECT_EQ(read.Evaluate(Small(2, 3, "a")).status, 503);  // may have been taken
     EXPECT_EQ(read.Evaluate(Small(5, 6, "a")).status, 0);
   }
-  auto nothing = wire::Decode<ConfigurationState>(wire::Encode(ConfigurationStateOfBefore()));
+  auto nothing =
+      transport::Decode<ConfigurationState>(transport::Encode(ConfigurationStateOfBefore()));
   ASSERT_TRUE(nothing);
   EXPECT_EQ(nothing->Evaluate(Small(0, 1, "a")).status, 0);
 }
@@ -243,10 +244,11 @@
   ConfigurationState state;
   std::string big(1 << 20, 'x');
   ASSERT_TRUE(state.Apply(Small(0, 1, big)));
-  EXPECT_LT(wire::Encode(state).size(), big.size() + 1000);
+  EXPECT_LT(transport::Encode(state).size(), big.size() + 1000);
   ASSERT_TRUE(state.Apply({true, 1, R"({"revision":2,"note":1})"}));
   EXPECT_EQ(state.patch(), R"({"revision":2,"note":1})");
-  EXPECT_EQ(wire::Decode<ConfigurationState>(wire::Encode(state))->patch(), state.patch());
+  EXPECT_EQ(transport::Decode<ConfigurationState>(transport::Encode(state))->patch(),
+            state.patch());
 }
 
 // A log whose every step the test takes.
@@ -288,9 +290,9 @@
  protected:
   OperatorApiTest()
       : api_(&log_, &state_, &drained_zones_, &rollouts_,
-             [this](uint64_t ticket, const wire::Message& answer) { answers_[ticket] = answer; }) {}
-  wire::Message Call(const std::string& method, const std::string& match, const std::string& body) {
-    wire::Message request;
+             [this](uint64_t ticket, const http::Message& answer) { answers_[ticket] = answer; }) {}
+  http::Message Call(const std::string& method, const std::string& match, const std::string& body) {
+    http::Message request;
     request.method = method;
     request.target = "/elderkeel/config";
     if (!match.empty()) request.headers.push_back({"If-Match", match});
@@ -312,7 +314,7 @@
   ConfigurationState state_;
   zone_drain::DrainedZones drained_zones_;
   rollout::Rollouts rollouts_;
-  std::map<uint64_t, wire::Message> answers_;
+  std::map<uint64_t, http::Message> answers_;
   OperatorApi api_;
 };
 
@@ -455,7 +457,7 @@
 
 // Which zones there are is news to a node that has just started, or is cut off.
 TEST_F(OperatorApiTest, RejectsAZoneOnlyAsAConfirmedLeader) {
-  wire::Message request;
+  http::Message request;
   request.method = "POST";
   request.target = "/elderkeel/evacuation/nowhere";
   log_.leading_ = log_.committed_in_term_ = false;
@@ -480,7 +482,7 @@
 
 TEST_F(OperatorApiTest, DrainsAndRestoresAZoneByTheLog) {
   auto order = [&](const char* method, const char* zone) {
-    wire::Message request;
+    http::Message request;
     request.method = method;
     request.target = std::string("/elderkeel/evacuation/") + zone;
     return request;
@@ -529,7 +531,7 @@
 TEST_F(OperatorApiTest, TakesOrdersOfRollOutsByTheLog) {
   uint64_t ticket = 0;
   auto call = [&](const char* method, const std::string& path, const std::string& body) {
-    wire::Message request;
+    http::Message request;
     request.method = method;
     request.target = path;
     request.body = body;
@@ -603,15 +605,15 @@
   EXPECT_EQ(call("GET", get, ""), 503);
 }
 
-wire::Message DrainCall(const char* method, const char* zone) {
-  wire::Message request;
+http::Message DrainCall(const char* method, const char* zone) {
+  http::Message request;
   request.method = method;
   request.target = std::string("/elderkeel/evacuation/") + zone;
   return request;
 }
 
-wire::Message Rollout(const char* version) {
-  wire::Message request;
+http::Message Rollout(const char* version) {
+  http::Message request;
   request.method = "POST";
   request.target = "/elderkeel/rollouts";
   request.body =
@@ -771,7 +773,7 @@
   step.kind = rollout::Step::Kind::kDetected;
   step.found = {{"s", "v1"}, {"t", "v5"}};
   state.Apply(controller::MakeCommand(controller::Command::Kind::kRollout, step));
-  auto read = controller::ControlState::Decode(wire::Encode(state));
+  auto read = controller::ControlState::Decode(transport::Encode(state));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->configuration.revision(), 2);
   EXPECT_EQ(read->catalog_reader.epoch, 7u);
@@ -782,15 +784,15 @@
   EXPECT_EQ(read->rollouts.InForce("t"), "v5");
   EXPECT_EQ(read->rollouts.version(), 2u);
   // Before there were roll-outs a snapshot ended with the evacuations.
-  read = controller::ControlState::Decode(wire::Encode(state.configuration) +
-                                          wire::Encode(state.catalog_reader) +
-                                          wire::Encode(state.drained_zones));
+  read = controller::ControlState::Decode(transport::Encode(state.configuration) +
+                                          transport::Encode(state.catalog_reader) +
+                                          transport::Encode(state.drained_zones));
   ASSERT_TRUE(read);
   EXPECT_TRUE(read->drained_zones.IsDrained("a"));
   EXPECT_EQ(read->rollouts.version(), 0u);
   // Before there were evacuations a snapshot ended with the duty.
-  read = controller::ControlState::Decode(wire::Encode(state.configuration) +
-                                          wire::Encode(state.catalog_reader));
+  read = controller::ControlState::Decode(transport::Encode(state.configuration) +
+                                          transport::Encode(state.catalog_reader));
   ASSERT_TRUE(read);
   EXPECT_EQ(read->configuration.revision(), 2);
   EXPECT_EQ(read->catalog_reader.epoch, 7u);
--- a/tests/configuration/parsed_configuration_test.cc
+++ b/tests/configuration/parsed_configuration_test.cc
@@ -9,7 +9,7 @@
 #include "configuration/patch.h"
 #include "configuration/routing_table.h"
 #include "configuration/validation.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::configuration {
 namespace {
@@ -202,7 +202,7 @@
       ASSERT_EQ(got.status, want.status) << change.body << "\n" << got.reason << want.reason;
       ASSERT_EQ(got.reason, want.reason) << change.body << "\n" << full.text();
       // Elsewhere nobody judged it before it is applied.
-      if (writer.OneIn(2)) state = *wire::Decode<ConfigurationState>(wire::Encode(state));
+      if (writer.OneIn(2)) state = *transport::Decode<ConfigurationState>(transport::Encode(state));
       ASSERT_EQ(state.Apply(change), want.status == 0) << change.body;
       if (want.status != 0) {
         reasons.insert(want.reason.substr(0, want.reason.find(' ')));
--- a/tests/consensus/model_digest.h
+++ b/tests/consensus/model_digest.h
@@ -15,7 +15,7 @@
 
 #include "base/random.h"
 #include "consensus/raft_node.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel::model {
 
--- a/tests/consensus/model_invariants.cc
+++ b/tests/consensus/model_invariants.cc
@@ -130,7 +130,7 @@
   std::vector<std::vector<Member>> sets{RaftNodeProbe::snapshot(*n.raft).voters};
   for (const Entry& e : n.raft->log()) {
     if (e.kind != consensus::EntryKind::kVoters) continue;
-    auto voters = wire::Decode<std::vector<Member>>(e.data);
+    auto voters = transport::Decode<std::vector<Member>>(e.data);
     if (!voters) continue;
     if (e.index <= committed || e.index <= n.raft->snapshot_index()) sets.clear();
     sets.push_back(*voters);
--- a/tests/consensus/raft_node_test.cc
+++ b/tests/consensus/raft_node_test.cc
@@ -8,7 +8,7 @@
 #include <map>
 #include <memory>
 
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 // The consensus machine by itself: messages as a network may deliver them (late, twice, out of
 // order, over two connections), and what its store holds after each.
@@ -490,7 +490,7 @@
     for (Message& m : messages) {
       Link& link = links[{m.from, m.to}];
       if (loses && loses(m)) continue;
-      size_t bytes = wire::Encode(m).size();
+      size_t bytes = transport::Encode(m).size();
       link.free_at = std::max<double>(link.free_at, static_cast<double>(now));
       if (link.bytes_per_ms > 0) link.free_at += static_cast<double>(bytes) / link.bytes_per_ms;
       link.queued += bytes;
--- a/tests/directory/directory_test.cc
+++ b/tests/directory/directory_test.cc
@@ -38,16 +38,16 @@
     node.program = program;
     members_.OnMembershipUpdate(0, {"10.0.9.9", 1}, membership::MembershipUpdate{{node}, {}});
   }
-  wire::Message Call(const std::string& target, base::Millis now = 5000,
+  http::Message Call(const std::string& target, base::Millis now = 5000,
                      const std::string& method = "GET") {
-    wire::Message request;
+    http::Message request;
     request.method = method;
     request.target = target;
     return directory_.Answer(now, request);
   }
   // The last parts of the addresses that it names.
   std::set<std::string> Named(const std::string& zone, const std::string& region = "a") {
-    wire::Message answer =
+    http::Message answer =
         Call("/elderkeel/resolution?label=h.example&region=" + region + "&zone=" + zone);
     std::set<std::string> named;
     for (size_t at = 0; (at = answer.body.find("10.0.0.", at)) != std::string::npos; ++at) {
--- a/tests/dissemination/own_reading_test.cc
+++ b/tests/dissemination/own_reading_test.cc
@@ -7,7 +7,7 @@
 
 #include "discovery/platform_client.h"
 #include "dissemination/disseminator.h"
-#include "wire/http_server.h"
+#include "http/http_server.h"
 
 namespace elderkeel::dissemination {
 namespace {
@@ -145,13 +145,13 @@
   constexpr Millis kSlowMs = 120;
   base::Loop loop;
   std::vector<std::unique_ptr<base::Timer>> timers;
-  std::unique_ptr<wire::HttpServer> platform;
-  wire::HttpServer::Options options;
-  options.limits = [] { return wire::Limits(); };
-  platform = std::make_unique<wire::HttpServer>(
-      &loop, options, [&](wire::HttpServer::Ticket ticket, wire::Message&& request) {
+  std::unique_ptr<http::HttpServer> platform;
+  http::HttpServer::Options options;
+  options.limits = [] { return http::Limits(); };
+  platform = std::make_unique<http::HttpServer>(
+      &loop, options, [&](http::HttpServer::Ticket ticket, http::Message&& request) {
         bool first = request.target.find("page-token") == std::string::npos;
-        wire::Message answer;
+        http::Message answer;
         answer.status = 200;
         answer.body =
             first ? R"({"servers":[],"next-token":"p-50"})" : R"({"servers":[],"next-token":null})";
--- a/tests/forwarding/at_most_once_test.cc
+++ b/tests/forwarding/at_most_once_test.cc
@@ -4,7 +4,7 @@
 
 #include "forwarding/request_router.h"
 #include "forwarding/stand_in.h"
-#include "wire/http_client.h"
+#include "http/http_client.h"
 
 // No answer goes to the wrong caller, and what may run once is not sent again unless it is shown
 // that it didn't run: each misbehaviour of a server, with each class of status.
@@ -98,7 +98,7 @@
     EXPECT_FALSE(client.no_answer) << attempt;
     if (client.answers.empty()) return 0;
     EXPECT_EQ(client.answers.size(), 1u) << attempt;
-    const wire::Message& answer = client.answers[0];
+    const http::Message& answer = client.answers[0];
     if (answer.Find("Elderkeel-Server-Seal")) {
       const std::string* id = answer.Find(stand_in::kAttempt);
       EXPECT_TRUE(id && *id == attempt) << attempt;
@@ -145,7 +145,7 @@
   Server bad(&loop_, "i-bad", 24000), good(&loop_, "i-good", 24000);
   Deposit();
   auto play = [&](const char* attempt) {
-    bad.choose = [=](const wire::Message& request) {
+    bad.choose = [=](const http::Message& request) {
       const std::string* id = request.Find(stand_in::kAttempt);
       return id && *id == attempt ? Server::Play{c.deed, status, 0} : Server::Play();
     };
@@ -300,7 +300,7 @@
       SCOPED_TRACE(std::to_string(way) + (idempotent ? " repeatable" : " once"));
       Open();
       Server one(&loop_, "i-1", 24000), two(&loop_, "i-2", 24000);
-      one.choose = two.choose = [](const wire::Message& request) {
+      one.choose = two.choose = [](const http::Message& request) {
         bool late = *request.Find(stand_in::kAttempt) == "left";
         return late ? Server::Play{Deed::kLate, 200, 60} : Server::Play();
       };
@@ -343,7 +343,7 @@
   for (bool leaves : {false, true}) {
     Open();
     Server one(&loop_, "i-1", 24000), two(&loop_, "i-2", 24000);
-    one.choose = two.choose = [](const wire::Message& request) {
+    one.choose = two.choose = [](const http::Message& request) {
       return *request.Find(stand_in::kAttempt) == "a" ? Server::Play{Deed::kLate, 200, 40}
                                                       : Server::Play();
     };
--- a/tests/forwarding/at_most_once_world.h
+++ b/tests/forwarding/at_most_once_world.h
@@ -143,7 +143,7 @@
   void AddServer(int i) {
     balancer_.push_back(std::make_unique<Server>(&loop_, "i-" + std::to_string(i), 25000));
     Server* server = balancer_.back().get();
-    server->choose = [this](const wire::Message&) { return Choose(); };
+    server->choose = [this](const http::Message&) { return Choose(); };
     server->on_connection = [this] {
       static const Deed kDeeds[] = {Deed::kResetFirst, Deed::kHalfCloseFirst, Deed::kNoAnswerAtAll,
                                     Deed::kOtherFirst, Deed::kNoIdFirst};
@@ -196,7 +196,7 @@
   }
 
   uint16_t FreePort() {
-    wire::Listener listener;
+    transport::Listener listener;
     while (
         !listener.Open(&loop_, {"127.0.0.1", next_port_}, [](int fd) { close(fd); }).has_value()) {
       ++next_port_;
@@ -329,7 +329,7 @@
     if (client.closed || caller->judged == caller->asked.size()) Later(caller, 1 + Draw(25));
   }
 
-  void Judge(Caller* caller, const wire::Message& answer) {
+  void Judge(Caller* caller, const http::Message& answer) {
     ++report_.answers;
     if (caller->judged >= caller->asked.size()) {
       ++report_.foreign;
--- a/tests/forwarding/request_router_fixture.h
+++ b/tests/forwarding/request_router_fixture.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "forwarding/request_router.h"
-#include "wire/socket.h"
+#include "transport/socket.h"
 
 // A request router on loopback, between servers and clients that the test plays.
 
@@ -45,7 +45,7 @@
  private:
   struct Connection {
     StandIn* self;
-    wire::BuffereventPtr socket;
+    transport::BuffereventPtr socket;
   };
   void Accept(int fd) {
     ++connections;
@@ -86,7 +86,7 @@
   base::Loop* loop_;
   Script script_;
   base::Address address_;
-  wire::Listener listener_;
+  transport::Listener listener_;
   std::vector<std::unique_ptr<Connection>> open_;
   std::vector<bufferevent*> origins_;  // of the requests
 };
@@ -94,7 +94,8 @@
 // A client's connection that stays open.
 class OpenConnection {
  public:
-  explicit OpenConnection(const base::Address& address) : fd_(wire::StartConnect(address, 0)) {}
+  explicit OpenConnection(const base::Address& address)
+      : fd_(transport::StartConnect(address, 0)) {}
   OpenConnection(OpenConnection&& other) noexcept
       : answers_(std::move(other.answers_)), fd_(std::exchange(other.fd_, -1)) {}
   ~OpenConnection() {
@@ -189,7 +190,7 @@
 
   // Sends bytes on a new connection and returns all that comes until the end, or `ms` have passed.
   std::string PendingRequest(const std::string& bytes, int ms = 1500) {
-    int fd = wire::StartConnect(settings_.front, 0);
+    int fd = transport::StartConnect(settings_.front, 0);
     std::string answer;
     bool sent = false;
     base::Millis end = base::SteadyMillis() + ms;
@@ -237,8 +238,8 @@
     int n = 0;
     std::unique_ptr<evbuffer, decltype(&evbuffer_free)> buffer(evbuffer_new(), &evbuffer_free);
     evbuffer_add(buffer.get(), bytes.data(), bytes.size());
-    wire::MessageReader reader(HTTP_RESPONSE);
-    while (reader.Read(buffer.get(), wire::Limits()) == wire::MessageReader::Progress::kDone) {
+    http::MessageReader reader(HTTP_RESPONSE);
+    while (reader.Read(buffer.get(), http::Limits()) == http::MessageReader::Progress::kDone) {
       ++n;
       reader.Reset();
     }
--- a/tests/forwarding/request_router_test.cc
+++ b/tests/forwarding/request_router_test.cc
@@ -272,7 +272,7 @@
   Configure();
   std::vector<int> clients;
   for (int i = 0; i < 5; ++i) {
-    int fd = wire::StartConnect(settings_.front, 0);
+    int fd = transport::StartConnect(settings_.front, 0);
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
     std::string bytes = Ask(i % 2 ? "post" : "get", "gone-" + std::to_string(i));
     EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
--- a/tests/forwarding/stand_in.h
+++ b/tests/forwarding/stand_in.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/loop.h"
-#include "wire/http.h"
-#include "wire/socket.h"
+#include "http/http.h"
+#include "transport/socket.h"
 
 namespace elderkeel::stand_in {
 
@@ -84,7 +84,7 @@
   // Another life, maybe of another service, at this address.
   void SetId(std::string id) { id_ = std::move(id); }
 
-  std::function<Play(const wire::Message&)> choose = [](const wire::Message&) { return Play(); };
+  std::function<Play(const http::Message&)> choose = [](const http::Message&) { return Play(); };
   // Asked for each new connection, and once the first part of a request has come.
   std::function<Deed()> on_connection = [] { return Deed::kWell; };
   std::function<Deed()> on_part = [] { return Deed::kWell; };
@@ -111,8 +111,8 @@
   struct Connection {
     Server* self = nullptr;
     int number = 0;
-    wire::BuffereventPtr socket;
-    wire::MessageReader reader{HTTP_REQUEST};
+    transport::BuffereventPtr socket;
+    http::MessageReader reader{HTTP_REQUEST};
     bool dead = false;
     bool part_asked = false;
     bool spoilt = false;
@@ -163,7 +163,7 @@
     Connection* c = made.get();
     c->self = this;
     c->number = ++connections;
-    wire::TuneSocket(fd, 10000);  // what is written goes out at once
+    transport::TuneSocket(fd, 10000);  // what is written goes out at once
     c->socket.reset(bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE));
     bufferevent_setcb(c->socket.get(), &OnReadable, nullptr, &OnEvent, c);
     open_.push_back(std::move(made));
@@ -198,9 +198,9 @@
       evbuffer_drain(in, evbuffer_get_length(in));
       return;
     }
-    wire::Limits limits;
+    http::Limits limits;
     auto progress = c->reader.Read(in, limits);
-    if (progress == wire::MessageReader::Progress::kMore) {
+    if (progress == http::MessageReader::Progress::kMore) {
       if (c->part_asked) return;
       c->part_asked = true;
       switch (c->self->on_part()) {
@@ -214,14 +214,14 @@
           return;
       }
     }
-    if (progress == wire::MessageReader::Progress::kBad) return c->self->Reset(c);
-    wire::Message request = c->reader.Take();
+    if (progress == http::MessageReader::Progress::kBad) return c->self->Reset(c);
+    http::Message request = c->reader.Take();
     c->reader.Reset();
     c->part_asked = false;
     c->self->Serve(c, request);
   }
 
-  void Serve(Connection* c, const wire::Message& request) {
+  void Serve(Connection* c, const http::Message& request) {
     const std::string* named = request.Find(kAttempt);
     if (!named) {  // a health probe
       return Write(c, "HTTP/1.1 200 OK\r\nElderkeel-Server-Id: " + id_ +
@@ -313,7 +313,7 @@
   base::Loop* loop_;
   std::string id_;
   base::Address address_;
-  wire::Listener listener_;
+  transport::Listener listener_;
   std::vector<std::unique_ptr<Connection>> open_;
 };
 
@@ -321,7 +321,7 @@
 class Client {
  public:
   Client(base::Loop* loop, const base::Address& to) {
-    int fd = wire::StartConnect(to, 0);
+    int fd = transport::StartConnect(to, 0);
     if (fd < 0) {
       closed = true;
       return;
@@ -349,7 +349,7 @@
     closed = true;
   }
   std::function<void()> on_change;
-  std::vector<wire::Message> answers;
+  std::vector<http::Message> answers;
   bool closed = false;
   bool no_answer = false;  // bytes came that are none in the protocol
 
@@ -358,9 +358,9 @@
     auto* c = static_cast<Client*>(arg);
     evbuffer* in = bufferevent_get_input(b);
     while (!c->no_answer && evbuffer_get_length(in) > 0) {
-      auto progress = c->reader_.Read(in, wire::Limits());
-      if (progress == wire::MessageReader::Progress::kMore) break;
-      if (progress == wire::MessageReader::Progress::kBad) {
+      auto progress = c->reader_.Read(in, http::Limits());
+      if (progress == http::MessageReader::Progress::kMore) break;
+      if (progress == http::MessageReader::Progress::kBad) {
         c->no_answer = true;
         break;
       }
@@ -376,8 +376,8 @@
     if (c->on_change) c->on_change();
   }
 
-  wire::BuffereventPtr socket_;
-  wire::MessageReader reader_{HTTP_RESPONSE};
+  transport::BuffereventPtr socket_;
+  http::MessageReader reader_{HTTP_RESPONSE};
 };
 
 // A request as a client sends it: GET what may be repeated, POST what may run once.
--- a/tests/wire/http_connection_test.cc
+++ b/tests/http/http_connection_test.cc
@@ -6,9 +6,9 @@
 
 #include <optional>
 
-#include "wire/http_client.h"
+#include "http/http_client.h"
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 namespace {
 
 using Ending = HttpConnection::Ending;
@@ -187,4 +187,4 @@
 }
 
 }  // namespace
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/tests/wire/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -1,4 +1,4 @@
-#include "wire/http_server.h"
+#include "http/http_server.h"
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 namespace {
 
 // A server that answers when the test says so, and clients as bare sockets.
@@ -45,7 +45,7 @@
   }
   // Sends `count` requests in one piece on a new connection, and waits until they are read.
   int Ask(size_t count) {
-    int fd = StartConnect(address_, 0);
+    int fd = transport::StartConnect(address_, 0);
     clients_.push_back(fd);
     std::string bytes;
     for (size_t i = 0; i < count; ++i) bytes += "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -59,7 +59,7 @@
   }
   // Sends a request with a body on a new connection.
   int Post(size_t body_bytes) {
-    int fd = StartConnect(address_, 0);
+    int fd = transport::StartConnect(address_, 0);
     clients_.push_back(fd);
     std::string bytes =
         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
@@ -168,4 +168,4 @@
 }
 
 }  // namespace
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/tests/wire/http_test.cc
+++ b/tests/http/http_test.cc
@@ -1,10 +1,10 @@
-#include "wire/http.h"
+#include "http/http.h"
 
 #include <gtest/gtest.h>
 
 #include <memory>
 
-namespace elderkeel::wire {
+namespace elderkeel::http {
 namespace {
 
 using Progress = MessageReader::Progress;
@@ -154,4 +154,4 @@
 }
 
 }  // namespace
-}  // namespace elderkeel::wire
+}  // namespace elderkeel::http
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -133,16 +133,16 @@
     for (int turn = 0; turn < 6; ++turn) {
       Membership::Effects effects = from->TakeEffects();
       for (const auto& [address, m] : effects.part_digests) {
-        bytes += wire::Encode(m).size();
+        bytes += transport::Encode(m).size();
         to->OnPartDigests(1000, from->self().address(), m);
       }
       for (const auto& [address, m] : effects.summaries) {
-        bytes += wire::Encode(m).size();
+        bytes += transport::Encode(m).size();
         to->OnSummary(1000, from->self().address(), m);
       }
       for (const auto& [address, m] : effects.updates) {
         if (address != to->self().address()) continue;
-        bytes += wire::Encode(m).size();
+        bytes += transport::Encode(m).size();
         to->OnMembershipUpdate(1000, from->self().address(), m);
       }
       std::swap(from, to);
--- a/tests/programs/programs_fixture.h
+++ b/tests/programs/programs_fixture.h
@@ -19,8 +19,8 @@
 #include <vector>
 
 #include "base/random.h"
-#include "wire/http_client.h"
-#include "wire/http_server.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
 
 // The programs themselves, as processes on loopback addresses: three controllers with disks, two
 // proxies, and a platform and servers played by the test.
@@ -50,13 +50,13 @@
 
   void PlayWorld() {
     base::Loop loop;
-    wire::HttpServer::Options options;
-    options.limits = [] { return wire::Limits(); };
-    wire::HttpServer* server = nullptr;
+    http::HttpServer::Options options;
+    options.limits = [] { return http::Limits(); };
+    http::HttpServer* server = nullptr;
     std::vector<std::unique_ptr<base::Timer>> working;
-    wire::HttpServer both(
-        &loop, options, [&](wire::HttpServer::Ticket ticket, wire::Message&& request) {
-          wire::Message answer;
+    http::HttpServer both(
+        &loop, options, [&](http::HttpServer::Ticket ticket, http::Message&& request) {
+          http::Message answer;
           answer.status = 200;
           base::Millis work_ms = 0;
           if (request.Path() == "/servers") {
@@ -91,7 +91,7 @@
     constexpr std::string_view kMark = "/work-";
     size_t at = path.rfind(kMark);
     if (at == std::string_view::npos) return 0;
-    return std::max<base::Millis>(0, wire::ParseDecimal(path.substr(at + kMark.size())));
+    return std::max<base::Millis>(0, http::ParseDecimal(path.substr(at + kMark.size())));
   }
   void NoteRun(const std::string& attempt_id, base::Millis ends) {
     std::lock_guard<std::mutex> lock(mutex_);
@@ -161,17 +161,17 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
 
-  wire::Message Call(base::Address to, const std::string& method, const std::string& target,
+  http::Message Call(base::Address to, const std::string& method, const std::string& target,
                      const std::string& headers = "", const std::string& body = "",
                      int redirects = 2) {
     base::Loop loop;
-    wire::HttpCall call(&loop, to, 2000, wire::Limits());
-    wire::Message answer;
+    http::HttpCall call(&loop, to, 2000, http::Limits());
+    http::Message answer;
     call.Start(method + " " + target + " HTTP/1.1\r\nHost: h.example\r\n" + headers +
                    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-               [&](wire::HttpConnection::Outcome&& outcome) {
+               [&](http::HttpConnection::Outcome&& outcome) {
                  answer = std::move(outcome.answer);
-                 if (outcome.ending != wire::HttpConnection::Ending::kAnswer) {
+                 if (outcome.ending != http::HttpConnection::Ending::kAnswer) {
                    answer.status = 0;
                    answer.reason = outcome.reason;
                  }
@@ -186,9 +186,9 @@
     return answer;
   }
   // As the operator does: any controller, the next one after a failure.
-  wire::Message Operate(const std::string& method, int64_t match, const std::string& body,
+  http::Message Operate(const std::string& method, int64_t match, const std::string& body,
                         int first = 0) {
-    wire::Message answer;
+    http::Message answer;
     for (int k = 0; k < 60; ++k) {
       answer = Call(Control((first + k) % kControllers), method, "/elderkeel/config",
                     match >= 0 ? "If-Match: " + std::to_string(match) + "\r\n" : "", body);
--- a/tests/programs/programs_test.cc
+++ b/tests/programs/programs_test.cc
@@ -10,7 +10,7 @@
   for (int i = 0; i < kProxies; ++i) Start("proxy", "p" + std::to_string(i), i, true);
   ASSERT_EQ(Operate("PUT", 0, Document(3, "/a/")).status, 200);
   // A change that is larger than replication carries is refused, and stands in nobody's way.
-  wire::Message large = Operate("PUT", 3, Document(9, "/a/") + std::string(9u << 20, ' '));
+  http::Message large = Operate("PUT", 3, Document(9, "/a/") + std::string(9u << 20, ' '));
   EXPECT_EQ(large.status, 413);
   EXPECT_NE(large.body.find(std::to_string(4u << 20)), std::string::npos) << large.body;
   for (int i = 0; i < kProxies; ++i) {
@@ -53,7 +53,7 @@
   EXPECT_EQ(Ask(0, "/b/x"), 200);
   Start("controller", leader, leader[1] - '0', false);
   EXPECT_TRUE(Eventually([&] {
-    wire::Message answer = Operate("GET", -1, "", leader[1] - '0');
+    http::Message answer = Operate("GET", -1, "", leader[1] - '0');
     return answer.status == 200 && answer.body.find("\"revision\":9") != std::string::npos;
   }));
 
--- a/tests/programs/shutdown_test.cc
+++ b/tests/programs/shutdown_test.cc
@@ -15,7 +15,7 @@
   std::string attempt_id = "";
   base::Millis at = 0;
   bool answered = false;
-  wire::Message answer = {};
+  http::Message answer = {};
 };
 
 // How long the machine itself stood still, at most.
@@ -33,7 +33,7 @@
     base::Random random(static_cast<uint64_t>(client) + 1);
     for (int number = 0; !gone_; ++number) {
       base::Loop loop;
-      wire::HttpConnection connection(&loop, RequestRouter(0), 1000, wire::Limits());
+      http::HttpConnection connection(&loop, RequestRouter(0), 1000, http::Limits());
       for (bool keep = true; keep && !gone_; ++number) {
         base::Millis work_ms = static_cast<base::Millis>(
             random.Next() % 5 == 0 ? 300 + random.Next() % 1900 : 5 + random.Next() % 40);
@@ -54,14 +54,14 @@
     return document;
   }
   // True if the connection can be used again.
-  bool Exchange(base::Loop* loop, wire::HttpConnection* connection, base::Millis work_ms,
+  bool Exchange(base::Loop* loop, http::HttpConnection* connection, base::Millis work_ms,
                 Sent* request) {
     bool done = false;
     connection->Send("GET /a/work-" + std::to_string(work_ms) +
                          " HTTP/1.1\r\nHost: h.example\r\nElderkeel-Attempt-Id: " +
                          request->attempt_id + "\r\nElderkeel-Remaining-Ms: 3000\r\n\r\n",
-                     false, [&](wire::HttpConnection::Outcome&& outcome) {
-                       request->answered = outcome.ending == wire::HttpConnection::Ending::kAnswer;
+                     false, [&](http::HttpConnection::Outcome&& outcome) {
+                       request->answered = outcome.ending == http::HttpConnection::Ending::kAnswer;
                        request->answer = std::move(outcome.answer);
                        done = true;
                      });
--- a/tests/proxy/shutdown_test.cc
+++ b/tests/proxy/shutdown_test.cc
@@ -288,7 +288,7 @@
     base::Millis now = base::SteadyMillis();
     if (now >= next) {
       next = now + 15;
-      clients.push_back({wire::StartConnect(settings_.front, 0),
+      clients.push_back({transport::StartConnect(settings_.front, 0),
                          "late-" + std::to_string(clients.size()), now - begin});
     }
     wake.Start(&loop_, 2, [] {});
--- a/tests/simulation/operators.h
+++ b/tests/simulation/operators.h
@@ -66,7 +66,7 @@
     controller::ControlState& state = world_->node(i).state;
     door.api = std::make_unique<configuration::OperatorApi>(
         door.log.get(), &state.configuration, &state.drained_zones, &state.rollouts,
-        [this, i](uint64_t ticket, const wire::Message& answer) { Answered(i, ticket, answer); });
+        [this, i](uint64_t ticket, const http::Message& answer) { Answered(i, ticket, answer); });
   }
   void Crashed(size_t i) override {
     if (!doors_[i]) return;
@@ -164,7 +164,7 @@
     size_t node = 0;
     Operation::Kind kind = Operation::Kind::kGet;
     std::string zone;  // to be read
-    wire::Message request;
+    http::Message request;
     bool waited = false;  // in the kernel, while the process slept
     bool delivered = false;
     bool closed = false;  // the end of the connection has come to the node
@@ -172,7 +172,7 @@
   struct Event {
     enum Kind { kArrives, kNotified, kBroken, kSilent, kClosed, kTry, kAgain } kind;
     uint64_t id = 0;  // a ticket; a call; an index of `ended_`
-    wire::Message answer;
+    http::Message answer;
   };
   struct ZoneRead {
     size_t node;
@@ -181,7 +181,7 @@
   };
 
   Millis Latency() { return 1 + static_cast<Millis>(random_.Below(15)); }
-  void At(Millis in, Event::Kind kind, uint64_t id, wire::Message answer = {}) {
+  void At(Millis in, Event::Kind kind, uint64_t id, http::Message answer = {}) {
     events_[{world_->now + in, ++event_order_}] = {kind, id, std::move(answer)};
   }
   static bool Reads(Operation::Kind kind) {
@@ -277,8 +277,8 @@
     At(delay, Event::kArrives, call.ticket);
     At(1000, Event::kSilent, call.ticket);
   }
-  wire::Message RequestOf(const Operation& o) const {
-    wire::Message request;
+  http::Message RequestOf(const Operation& o) const {
+    http::Message request;
     request.target = "/elderkeel/config";
     switch (o.kind) {
       case Operation::Kind::kPut:
@@ -316,7 +316,7 @@
     At(call.pause, Event::kTry, id);
     call.pause = std::min<Millis>(call.pause * 2, 1000);
   }
-  void Notified(uint64_t ticket, const wire::Message& answer) {
+  void Notified(uint64_t ticket, const http::Message& answer) {
     auto at = attempts_.find(ticket);
     if (at == attempts_.end()) return;
     Attempt attempt = at->second;
@@ -436,7 +436,7 @@
     if (doors_[i]) doors_[i]->api->OnCallerGone(ticket);
     attempts_.erase(ticket);
   }
-  void Answered(size_t i, uint64_t ticket, const wire::Message& answer) {
+  void Answered(size_t i, uint64_t ticket, const http::Message& answer) {
     if (!attempts_.count(ticket) || attempts_[ticket].node != i) return;
     acknowledged_ += answer.status == 200 && !Reads(attempts_[ticket].kind);
     if (random_.Below(100) < static_cast<uint64_t>(options_.lost_percent)) return;
@@ -447,7 +447,7 @@
     World::Node& n = world_->node(i);
     uint64_t token = ++next_token_;
     if (!n.raft->is_leader() || !n.raft->ConfirmRead(world_->now, token)) {
-      wire::Message answer;
+      http::Message answer;
       answer.status = 503;
       if (auto leader = n.raft->leader(); leader && !n.raft->is_leader()) {
         answer.status = 307;
@@ -465,7 +465,7 @@
     }
     auto at = zone_reads_.find(token);
     if (at == zone_reads_.end() || at->second.node != i) return;
-    wire::Message answer;
+    http::Message answer;
     answer.status = confirmed ? 200 : 503;
     answer.body =
         world_->node(i).state.drained_zones.IsDrained(at->second.zone) ? "evacuated" : "not";
--- a/tests/simulation/partition_test.cc
+++ b/tests/simulation/partition_test.cc
@@ -344,7 +344,7 @@
     };
   }
 
-  uint64_t Ask(size_t i, const wire::Message& request) {
+  uint64_t Ask(size_t i, const http::Message& request) {
     uint64_t ticket = ++tickets_;
     answers[ticket] = Answer();
     if (auto* api = Api(i)) {
@@ -414,7 +414,7 @@
       d.boot_id = n.boot_id;
       d.api = std::make_unique<configuration::OperatorApi>(
           &d, &n.state.configuration, &n.state.drained_zones, &n.state.rollouts,
-          [this, &d](uint64_t ticket, const wire::Message& m) {
+          [this, &d](uint64_t ticket, const http::Message& m) {
             Answer& answer = answers[ticket];
             answer.status = m.status;
             if (auto* location = m.Find("Location")) answer.location = *location;
@@ -434,7 +434,7 @@
 // pause that grows, and follows 307 twice.
 struct Caller {
   std::string kind;
-  wire::Message request;
+  http::Message request;
   size_t at = 0;       // the node that is asked
   bool stays = false;  // asks that one node once, and is content with any answer
   Millis began = 0, asked = 0, pause = 100, wait_until = 0;
--- a/tests/simulation/simulation.cc
+++ b/tests/simulation/simulation.cc
@@ -89,7 +89,7 @@
     if (node.state == membership::State::kAlive) n.disseminator->OnNodeReachable(now, node);
     if (!node.reachable()) n.disseminator->OnNodeUnreachable(node);
   }
-  for (const auto& node : membership.changed) Trace(i, 110, wire::Encode(node));
+  for (const auto& node : membership.changed) Trace(i, 110, transport::Encode(node));
   for (auto& [to, m] : membership.heartbeats) Send(i, to, m);
   for (auto& [to, m] : membership.updates) Send(i, to, m);
   for (auto& [to, m] : membership.part_digests) Send(i, to, m);
--- a/tests/simulation/simulation_controller.cc
+++ b/tests/simulation/simulation_controller.cc
@@ -172,12 +172,12 @@
     Trace(i, 100,
           std::to_string(write.sequence) + "," + std::to_string(write.commit) + "," +
               std::to_string(write.truncate_from) + "," + std::to_string(write.drop_to));
-    if (write.hard_state_changed) Trace(i, 101, wire::Encode(write.hard_state));
-    for (const auto& entry : write.entries) Trace(i, 102, wire::Encode(entry));
-    for (const auto& snapshot : write.snapshot) Trace(i, 103, wire::Encode(snapshot));
+    if (write.hard_state_changed) Trace(i, 101, transport::Encode(write.hard_state));
+    for (const auto& entry : write.entries) Trace(i, 102, transport::Encode(entry));
+    for (const auto& snapshot : write.snapshot) Trace(i, 103, transport::Encode(snapshot));
   }
-  for (const auto& entry : e.committed) Trace(i, 104, wire::Encode(entry));
-  for (const auto& snapshot : e.installed) Trace(i, 105, wire::Encode(snapshot));
+  for (const auto& entry : e.committed) Trace(i, 104, transport::Encode(entry));
+  for (const auto& snapshot : e.installed) Trace(i, 105, transport::Encode(snapshot));
   for (uint64_t token : e.confirmed_reads) Trace(i, 106, std::to_string(token));
   for (uint64_t token : e.failed_reads) Trace(i, 107, std::to_string(token));
   if (e.role_changed) Trace(i, 108, std::to_string(static_cast<int>(RoleOf(i))));
@@ -200,7 +200,7 @@
     for (const auto& snapshot : e.installed) {
       n.state = controller::ControlState();
       if (!snapshot.state.empty())
-        n.state = *wire::Decode<controller::ControlState>(snapshot.state);
+        n.state = *transport::Decode<controller::ControlState>(snapshot.state);
     }
     for (const auto& entry : e.committed) {
       uint64_t digest = base::Hash(entry.data, entry.term * 8 + static_cast<uint64_t>(entry.kind));
@@ -252,7 +252,7 @@
       }
     }
     if (follower_) follower_->Pumped(i, e);
-    if (n.raft->log_size() > 24) n.raft->Compact(n.raft->commit(), wire::Encode(n.state));
+    if (n.raft->log_size() > 24) n.raft->Compact(n.raft->commit(), transport::Encode(n.state));
   }
   if (n.raft->is_leader()) {
     auto [at, added] = leaders_.emplace(n.raft->term(), n.raft->self().id);
--- a/tests/simulation/simulation_network.cc
+++ b/tests/simulation/simulation_network.cc
@@ -29,12 +29,13 @@
   if (at == by_address_.end()) return;
   ++messages_;
   if (options_.trace) {
-    std::string bytes = std::visit([](const auto& m) { return wire::Encode(m); }, body);
+    std::string bytes = std::visit([](const auto& m) { return transport::Encode(m); }, body);
     Trace(from, body.index(), bytes);
     Trace(at->second, datagram, {});
   }
   if (options_.count_bytes && !std::holds_alternative<consensus::Message>(body)) {
-    nodes_[from]->bytes += std::visit([](const auto& m) { return wire::Encode(m).size(); }, body);
+    nodes_[from]->bytes +=
+        std::visit([](const auto& m) { return transport::Encode(m).size(); }, body);
   }
   if (random_.Below(100) < static_cast<uint64_t>(options_.loss_percent)) return;
   if (datagram && (datagrams_lost_.count(from) || datagrams_lost_.count(at->second))) return;
--- a/tools/change_cost.cc
+++ b/tools/change_cost.cc
@@ -20,7 +20,7 @@
 #include "configuration/validation.h"
 #include "dissemination/disseminator.h"
 #include "membership/membership.h"
-#include "wire/frame.h"
+#include "transport/frame.h"
 
 namespace elderkeel {
 namespace {
@@ -157,7 +157,7 @@
     Expect(labels == static_cast<size_t>(routes), "a label is missing");
     change("patch", true);
     size_t bytes = 0;
-    times.Add("snapshot of the register", [&] { bytes = wire::Encode(*leader).size(); });
+    times.Add("snapshot of the register", [&] { bytes = transport::Encode(*leader).size(); });
     Expect(bytes > leader->text().size(), "a snapshot is too short");
   }
   times.Print(routes);
--- a/tools/soak/traffic.cc
+++ b/tools/soak/traffic.cc
@@ -7,7 +7,7 @@
 
 #include "base/loop.h"
 #include "base/random.h"
-#include "wire/http_client.h"
+#include "http/http_client.h"
 
 namespace elderkeel::soak {
 namespace {
@@ -40,15 +40,15 @@
 
 struct CallResult {
   int status = 0;  // 0: no whole answer
-  wire::Message answer;
+  http::Message answer;
 };
 
 CallResult CallOnce(const base::Address& to, const std::string& bytes) {
   base::Loop loop;
   CallResult result;
-  wire::HttpCall call(&loop, to, kCallTimeoutMs, wire::Limits());
-  call.Start(bytes, [&](wire::HttpConnection::Outcome&& outcome) {
-    if (outcome.ending == wire::HttpConnection::Ending::kAnswer) {
+  http::HttpCall call(&loop, to, kCallTimeoutMs, http::Limits());
+  call.Start(bytes, [&](http::HttpConnection::Outcome&& outcome) {
+    if (outcome.ending == http::HttpConnection::Ending::kAnswer) {
       result.status = outcome.answer.status;
       result.answer = std::move(outcome.answer);
     }
@@ -75,10 +75,10 @@
          (request.effectful ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
 }
 
-void TakeOutcome(wire::HttpConnection::Outcome&& outcome, Request* request) {
-  request->any_byte_sent = outcome.ending != wire::HttpConnection::Ending::kNotSent;
+void TakeOutcome(http::HttpConnection::Outcome&& outcome, Request* request) {
+  request->any_byte_sent = outcome.ending != http::HttpConnection::Ending::kNotSent;
   request->reason = outcome.reason;
-  if (outcome.ending != wire::HttpConnection::Ending::kAnswer) return;
+  if (outcome.ending != http::HttpConnection::Ending::kAnswer) return;
   request->status = outcome.answer.status;
   request->body = outcome.answer.body;
   const std::string* seal = outcome.answer.Find("Elderkeel-Server-Seal");
@@ -87,15 +87,15 @@
 
 // Sends the request and waits for its answer or its deadline, or until the client leaves after
 // `leave_after`, if that is not negative. True if the connection can be kept.
-bool Exchange(base::Loop* loop, wire::HttpConnection* connection, base::Millis leave_after,
+bool Exchange(base::Loop* loop, http::HttpConnection* connection, base::Millis leave_after,
               Request* request) {
   request->sent_at = base::SteadyMillis();
   request->deadline = request->sent_at + kDeadlineMs;
   bool done = false;
   bool keep = false;
-  connection->Send(Serialize(*request), false, [&](wire::HttpConnection::Outcome&& outcome) {
+  connection->Send(Serialize(*request), false, [&](http::HttpConnection::Outcome&& outcome) {
     done = true;
-    keep = outcome.ending == wire::HttpConnection::Ending::kAnswer && outcome.answer.keep_alive;
+    keep = outcome.ending == http::HttpConnection::Ending::kAnswer && outcome.answer.keep_alive;
     TakeOutcome(std::move(outcome), request);
   });
   base::Millis wait = leave_after < 0 ? kDeadlineMs + kRetryMs : leave_after;
@@ -132,15 +132,15 @@
 
 void Readiness::Run() {
   base::Loop loop;
-  std::vector<std::unique_ptr<wire::HttpCall>> calls(misses_.size());
+  std::vector<std::unique_ptr<http::HttpCall>> calls(misses_.size());
   base::Timer ask, watch;
   auto ask_all = [&] {
     for (size_t i = 0; i < misses_.size(); ++i) {
-      calls[i] = std::make_unique<wire::HttpCall>(&loop, addresses_.Readiness(static_cast<int>(i)),
-                                                  kCallTimeoutMs / 2, wire::Limits());
+      calls[i] = std::make_unique<http::HttpCall>(&loop, addresses_.Readiness(static_cast<int>(i)),
+                                                  kCallTimeoutMs / 2, http::Limits());
       calls[i]->Start("GET /elderkeel/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n",
-                      [this, i](wire::HttpConnection::Outcome&& outcome) {
-                        bool ready = outcome.ending == wire::HttpConnection::Ending::kAnswer &&
+                      [this, i](http::HttpConnection::Outcome&& outcome) {
+                        bool ready = outcome.ending == http::HttpConnection::Ending::kAnswer &&
                                      outcome.answer.status == 200;
                         misses_[i] = ready ? 0 : misses_[i] + 1;
                       });
@@ -189,15 +189,15 @@
 void Clients::Run(int number) {
   base::Random random(options_.seed * 1000 + static_cast<uint64_t>(number));
   base::Loop loop;
-  std::unique_ptr<wire::HttpConnection> connection;
+  std::unique_ptr<http::HttpConnection> connection;
   Behaviour behaviour = options_.varied ? BehaviourOf(number) : Behaviour::kPlain;
   int proxy = 0;
   int served = 0;  // on this connection
   for (int count = 0; !stop_; ++count) {
     if (!connection || !connection->Usable()) {
       proxy = readiness_.Choose(number % 2, random.Next());
-      connection = std::make_unique<wire::HttpConnection>(&loop, addresses_.Front(proxy),
-                                                          kCallTimeoutMs, wire::Limits());
+      connection = std::make_unique<http::HttpConnection>(&loop, addresses_.Front(proxy),
+                                                          kCallTimeoutMs, http::Limits());
     }
     Request request = MakeRequest(&random);
     request.attempt_id = "a" + std::to_string(number) + "-" + std::to_string(count);
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -21,22 +21,22 @@
 constexpr base::Millis kSlowMoreMs = 600;    // that a slow server takes
 constexpr base::Millis kCutAfterMs = 20;     // an answer's begin that is cut
 
-wire::Message Plain(int status, const std::string& body) {
-  wire::Message answer;
+http::Message Plain(int status, const std::string& body) {
+  http::Message answer;
   answer.status = status;
   answer.body = body;
   return answer;
 }
 
-wire::HttpServer::Options ServerOptions() {
-  wire::HttpServer::Options options;
-  options.limits = [] { return wire::Limits(); };
+http::HttpServer::Options ServerOptions() {
+  http::HttpServer::Options options;
+  options.limits = [] { return http::Limits(); };
   return options;
 }
 
 base::Millis WorkMs(std::string_view path) {
   size_t at = path.rfind('-');
-  return at == std::string_view::npos ? 0 : wire::ParseDecimal(path.substr(at + 1));
+  return at == std::string_view::npos ? 0 : http::ParseDecimal(path.substr(at + 1));
 }
 
 }  // namespace
@@ -49,8 +49,8 @@
   bool draining = false;
   bool listening = true;
   base::Millis warm_at = 0;
-  std::unique_ptr<wire::HttpServer> http;
-  std::map<wire::HttpServer::Ticket, size_t> runs;  // under way, by their numbers in the record
+  std::unique_ptr<http::HttpServer> http;
+  std::map<http::HttpServer::Ticket, size_t> runs;  // under way, by their numbers in the record
 };
 
 Addresses::Addresses(int run)
@@ -112,13 +112,13 @@
   });
 }
 
-std::unique_ptr<wire::HttpServer> World::MakePlatform(bool of_proxies) {
-  auto platform = std::make_unique<wire::HttpServer>(
+std::unique_ptr<http::HttpServer> World::MakePlatform(bool of_proxies) {
+  auto platform = std::make_unique<http::HttpServer>(
       loop_, ServerOptions(),
-      [this, of_proxies](wire::HttpServer::Ticket ticket, wire::Message&& request) {
+      [this, of_proxies](http::HttpServer::Ticket ticket, http::Message&& request) {
         bool refused = cut_ && !of_proxies;
-        wire::Message answer = refused ? Plain(503, "") : ListPage(request);
-        wire::HttpServer* server =
+        http::Message answer = refused ? Plain(503, "") : ListPage(request);
+        http::HttpServer* server =
             of_proxies ? platform_of_proxies_.get() : platform_of_controllers_.get();
         bool slow = of_proxies && base::SteadyMillis() < slow_until_;
         After(slow ? kSlowMs : 1, [server, ticket, answer] { server->Answer(ticket, answer); });
@@ -128,7 +128,7 @@
   return platform;
 }
 
-wire::Message World::ListPage(const wire::Message& request) const {
+http::Message World::ListPage(const http::Message& request) const {
   size_t token = request.target.find("page-token=p-");
   size_t first = 0;
   if (token != std::string::npos) first = std::stoul(request.target.substr(token + 13));
@@ -148,7 +148,7 @@
   bool last = first + kPage >= servers_.size();
   body += "],\"next-token\":";
   body += last ? "null}" : "\"p-" + std::to_string(first + kPage) + "\"}";
-  wire::Message answer = Plain(200, body);
+  http::Message answer = Plain(200, body);
   answer.headers.push_back({"Content-Type", "application/json"});
   return answer;
 }
@@ -161,12 +161,12 @@
   server->zone = zone;
   server->address = TakeAddress(service);
   std::weak_ptr<Server> weak = server;
-  server->http = std::make_unique<wire::HttpServer>(
+  server->http = std::make_unique<http::HttpServer>(
       loop_, ServerOptions(),
-      [this, weak](wire::HttpServer::Ticket ticket, wire::Message&& request) {
+      [this, weak](http::HttpServer::Ticket ticket, http::Message&& request) {
         if (auto server = weak.lock()) OnRequest(server, ticket, request);
       });
-  server->http->OnGone([this, weak](wire::HttpServer::Ticket ticket) {
+  server->http->OnGone([this, weak](http::HttpServer::Ticket ticket) {
     auto server = weak.lock();
     if (!server || server->runs.count(ticket) == 0) return;
     record_->OnDropped(server->runs[ticket], base::SteadyMillis());
@@ -194,11 +194,11 @@
   After(kListedOnMs, [this, id] { servers_.erase(id); });
 }
 
-void World::OnRequest(const std::shared_ptr<Server>& server, wire::HttpServer::Ticket ticket,
-                      const wire::Message& request) {
+void World::OnRequest(const std::shared_ptr<Server>& server, http::HttpServer::Ticket ticket,
+                      const http::Message& request) {
   base::Millis now = base::SteadyMillis();
   if (request.Path() == "/health") {
-    wire::Message answer = Plain(200, "");
+    http::Message answer = Plain(200, "");
     answer.headers.push_back({"Elderkeel-Server-Id", server->id});
     answer.headers.push_back(
         {"Elderkeel-Warmup-Ms", std::to_string(std::max<base::Millis>(0, server->warm_at - now))});
@@ -209,7 +209,7 @@
   const std::string* expected = request.Find("Elderkeel-Expected-Server");
   bool misplaced = !attempt || (expected && *expected != server->id);
   if (misplaced) {
-    wire::Message answer = Plain(421, "");
+    http::Message answer = Plain(421, "");
     if (attempt) answer.headers.push_back({"Elderkeel-Attempt-Id", *attempt});
     server->http->Answer(ticket, answer);
     return;
@@ -217,7 +217,7 @@
   ServerFault fault = ServerFault::kNone;
   if (unsound_) fault = faults_.Draw(now - began_at_, server->id, *attempt);
   if (fault == ServerFault::kTurnsAway) {
-    wire::Message answer = Plain(503, "");
+    http::Message answer = Plain(503, "");
     answer.headers.push_back({"Elderkeel-Attempt-Id", *attempt});
     answer.headers.push_back({"Elderkeel-Not-Executed", "1"});
     server->http->Answer(ticket, answer);
@@ -226,8 +226,8 @@
   RunRequest(server, ticket, request, fault);
 }
 
-void World::RunRequest(const std::shared_ptr<Server>& server, wire::HttpServer::Ticket ticket,
-                       const wire::Message& request, ServerFault fault) {
+void World::RunRequest(const std::shared_ptr<Server>& server, http::HttpServer::Ticket ticket,
+                       const http::Message& request, ServerFault fault) {
   base::Millis now = base::SteadyMillis();
   base::Millis work = WorkMs(request.Path());
   if (fault == ServerFault::kSlow) work += kSlowMoreMs;
@@ -254,7 +254,7 @@
   });
 }
 
-void World::GiveAnswer(Server* server, wire::HttpServer::Ticket ticket,
+void World::GiveAnswer(Server* server, http::HttpServer::Ticket ticket,
                        const std::string& attempt_id, ServerFault fault) {
   if (fault == ServerFault::kCutsBefore) {
     server->http->Reset(ticket);
@@ -262,7 +262,7 @@
   }
   bool other = fault == ServerFault::kAnswersOther;
   std::string id = other ? "x" + attempt_id : attempt_id;
-  wire::Message answer = Plain(fault == ServerFault::kOwnFailure ? 500 : 200, BodyOf(id));
+  http::Message answer = Plain(fault == ServerFault::kOwnFailure ? 500 : 200, BodyOf(id));
   answer.headers.push_back({"Elderkeel-Attempt-Id", id});
   answer.headers.push_back({"Elderkeel-Server-Seal", SealOf(id, server->id)});
   if (fault == ServerFault::kAnswersTwice) {
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -10,10 +10,10 @@
 
 #include "base/loop.h"
 #include "base/settings.h"
+#include "http/http_server.h"
 #include "soak/record.h"
 #include "soak/schedule.h"
 #include "soak/server_faults.h"
-#include "wire/http_server.h"
 
 namespace elderkeel::soak {
 
@@ -59,14 +59,14 @@
   void Post(std::function<void()> work);
   void AddServer(const std::string& service, const std::string& zone, base::Millis cold_ms);
   void RemoveServer(const std::string& id);
-  std::unique_ptr<wire::HttpServer> MakePlatform(bool of_proxies);
-  wire::Message ListPage(const wire::Message& request) const;
-  void OnRequest(const std::shared_ptr<Server>& server, wire::HttpServer::Ticket ticket,
-                 const wire::Message& request);
+  std::unique_ptr<http::HttpServer> MakePlatform(bool of_proxies);
+  http::Message ListPage(const http::Message& request) const;
+  void OnRequest(const std::shared_ptr<Server>& server, http::HttpServer::Ticket ticket,
+                 const http::Message& request);
   // Notes the run, and answers when its work is done, as the fault says.
-  void RunRequest(const std::shared_ptr<Server>& server, wire::HttpServer::Ticket ticket,
-                  const wire::Message& request, ServerFault fault);
-  void GiveAnswer(Server* server, wire::HttpServer::Ticket ticket, const std::string& attempt_id,
+  void RunRequest(const std::shared_ptr<Server>& server, http::HttpServer::Ticket ticket,
+                  const http::Message& request, ServerFault fault);
+  void GiveAnswer(Server* server, http::HttpServer::Ticket ticket, const std::string& attempt_id,
                   ServerFault fault);
   // A new one or, where servers are unsound, at times that of an ended server of another service.
   base::Address TakeAddress(const std::string& service);
@@ -79,7 +79,7 @@
   std::atomic<base::Loop*> loop_{nullptr};
   // On the thread of the loop from here on.
   std::map<std::string, std::shared_ptr<Server>> servers_;
-  std::unique_ptr<wire::HttpServer> platform_of_controllers_, platform_of_proxies_;
+  std::unique_ptr<http::HttpServer> platform_of_controllers_, platform_of_proxies_;
   std::map<uint64_t, std::unique_ptr<base::Timer>> timers_;
   uint64_t next_timer_ = 1;
   int next_server_ = 0;
