--- a/src/transport/mesh.cc
+++ b/src/transport/mesh.cc
@@ -29,8 +29,8 @@
 void Put32(std::string* out, uint32_t n) {
   for (int i = 0; i < 4; ++i) out->push_back(static_cast<char>(n >> (8 * i)));
 }
-uint32_t Get32(const unsigned char* in) {
-  return in[0] | in[1] << 8 | in[2] << 16 | static_cast<uint32_t>(in[3]) << 24;
+uint32_t Get32(const unsigned char* bytes) {
+  return bytes[0] | bytes[1] << 8 | bytes[2] << 16 | static_cast<uint32_t>(bytes[3]) << 24;
 }
 uint32_t Check(Kind kind, std::string_view payload) {
   return static_cast<uint32_t>(base::Hash(payload, static_cast<uint64_t>(kind)));
@@ -140,13 +140,13 @@
     link->Fail();
     return nullptr;
   }
-  Link* l = link.get();
-  l->socket.reset(bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE));
+  Link* opened = link.get();
+  opened->socket.reset(bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE));
   bufferevent_setcb(
-      l->socket.get(),
+      opened->socket.get(),
       [](bufferevent* b, void*) {  // a link carries nothing back
-        evbuffer* in = bufferevent_get_input(b);
-        evbuffer_drain(in, evbuffer_get_length(in));
+        evbuffer* input = bufferevent_get_input(b);
+        evbuffer_drain(input, evbuffer_get_length(input));
       },
       nullptr,
       [](bufferevent*, short what, void* arg) {
@@ -158,13 +158,13 @@
           link->Fail();
         }
       },
-      l);
-  bufferevent_socket_connect(l->socket.get(), nullptr, 0);
-  bufferevent_enable(l->socket.get(), EV_READ | EV_WRITE);
-  l->connect_timer.Start(loop_, kConnectMs, [l] { l->Fail(); });
+      opened);
+  bufferevent_socket_connect(opened->socket.get(), nullptr, 0);
+  bufferevent_enable(opened->socket.get(), EV_READ | EV_WRITE);
+  opened->connect_timer.Start(loop_, kConnectMs, [opened] { opened->Fail(); });
   char port[2] = {static_cast<char>(self_.port & 0xff), static_cast<char>(self_.port >> 8)};
-  bufferevent_write(l->socket.get(), port, sizeof port);
-  return l;
+  bufferevent_write(opened->socket.get(), port, sizeof port);
+  return opened;
 }
 
 // At most one event a second, which counts those between.
@@ -212,36 +212,36 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &gap, sizeof gap);
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
-  auto incoming = std::make_unique<Incoming>();
-  Incoming* in = incoming.get();
-  in->mesh = this;
-  in->id = next_id_++;
-  in->from.ip = PeerOf(fd).ip;
-  in->socket.reset(bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE));
+  auto accepted = std::make_unique<Incoming>();
+  Incoming* incoming = accepted.get();
+  incoming->mesh = this;
+  incoming->id = next_id_++;
+  incoming->from.ip = PeerOf(fd).ip;
+  incoming->socket.reset(bufferevent_socket_new(loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE));
   bufferevent_setcb(
-      in->socket.get(),
+      incoming->socket.get(),
       [](bufferevent*, void* arg) {
-        auto* in = static_cast<Incoming*>(arg);
-        if (!in->mesh->ReadFrames(in)) in->mesh->incoming_.erase(in->id);
+        auto* incoming = static_cast<Incoming*>(arg);
+        if (!incoming->mesh->ReadFrames(incoming)) incoming->mesh->incoming_.erase(incoming->id);
       },
       nullptr,
       [](bufferevent*, short what, void* arg) {
-        auto* in = static_cast<Incoming*>(arg);
-        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) in->mesh->incoming_.erase(in->id);
+        auto* incoming = static_cast<Incoming*>(arg);
+        if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) incoming->mesh->incoming_.erase(incoming->id);
       },
-      in);
-  bufferevent_enable(in->socket.get(), EV_READ);
-  incoming_.emplace(in->id, std::move(incoming));
+      incoming);
+  bufferevent_enable(incoming->socket.get(), EV_READ);
+  incoming_.emplace(incoming->id, std::move(accepted));
 }
 
 // False when the connection carries something that is no frame.
-bool Mesh::ReadFrames(Incoming* in) {
-  evbuffer* buffer = bufferevent_get_input(in->socket.get());
-  if (in->from.port == 0) {
+bool Mesh::ReadFrames(Incoming* incoming) {
+  evbuffer* buffer = bufferevent_get_input(incoming->socket.get());
+  if (incoming->from.port == 0) {
     unsigned char port[2];
     if (evbuffer_get_length(buffer) < 2) return true;
     evbuffer_remove(buffer, port, 2);
-    in->from.port = static_cast<uint16_t>(port[0] | port[1] << 8);
+    incoming->from.port = static_cast<uint16_t>(port[0] | port[1] << 8);
   }
   for (;;) {
     unsigned char header[kHeader];
@@ -254,10 +254,10 @@
     evbuffer_remove(buffer, payload.data(), size);
     Kind kind = static_cast<Kind>(header[8]);
     if (Get32(header + 4) != Check(kind, payload)) {
-      base::Warn("frame.damaged", {{"peer", in->from.ToString()}});
+      base::Warn("frame.damaged", {{"peer", incoming->from.ToString()}});
       return false;
     }
-    handler_(in->from, kind, payload);
+    handler_(incoming->from, kind, payload);
   }
 }
 
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -44,7 +44,7 @@
   void Accepted(int fd);
   Link* OpenLink(const base::Address& to);
   void ReadDatagrams();
-  bool ReadFrames(Incoming* in);
+  bool ReadFrames(Incoming* incoming);
   bool Drop(const base::Address& to, Kind kind, size_t bytes, const char* why);
 
   base::Loop* loop_;
