--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -71,6 +71,7 @@
 // Plays the schedule to its end.
 void PlayAll(const Options& options, const std::vector<Event>& schedule, Fleet* fleet, World* world,
              const Record& record) {
+  base::Random random(options.seed);
   base::Millis begin = base::SteadyMillis(), heal_at = -1, next_line = kProgressMs;
   auto next = schedule.begin();
   for (;;) {
@@ -78,7 +79,10 @@
     if (elapsed >= options.seconds * 1000 || interrupted) break;
     for (; next != schedule.end() && next->at <= elapsed; ++next) {
       Play(*next, fleet, world);
-      if (next->kind == Event::Kind::kCutPlatform) heal_at = next->at + next->for_ms;
+      if (next->kind != Event::Kind::kCutPlatform) continue;
+      heal_at = next->at + next->for_ms;
+      // Nobody hears of it before the proxies read the list themselves.
+      if (options.unsound) world->ReuseAddress(random.Below(2) == 0 ? "z0" : "z1");
     }
     if (heal_at >= 0 && elapsed >= heal_at) {
       // A server drains just as the controllers reach the platform again.
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -313,6 +313,20 @@
   });
 }
 
+void World::ReuseAddress(const std::string& zone) {
+  Post([this, zone] {
+    auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& id_and_server) {
+      const Server& server = *id_and_server.second;
+      return server.zone == zone && !server.draining && server.listening;
+    });
+    if (found == servers_.end()) return;
+    const Server& crashed = *found->second;
+    std::string other = crashed.service == "reading" ? "writing" : "reading";
+    RemoveServer(found->first);
+    After(kReuseMs, [this, zone, other] { AddServer(other, zone == "z0" ? "z1" : "z0", 0); });
+  });
+}
+
 void World::ReplaceZoneCold(const std::string& zone) {
   Post([this, zone] {
     std::vector<std::pair<std::string, std::string>> replaced;  // id, service
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -46,6 +46,8 @@
   void Start();
   // One server of the zone drains, serves on, ends, and another takes its place.
   void DrainOne(const std::string& zone);
+  // A server of the zone crashes, and its address goes to a server of the other service.
+  void ReuseAddress(const std::string& zone);
   // The servers of the zone end, and cold ones take their places.
   void ReplaceZoneCold(const std::string& zone);
   // Of the thread on which platform and servers run.
