--- a/tests/soak/checkers_test.cc
+++ b/tests/soak/checkers_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -350,6 +351,23 @@
   EXPECT_FALSE(runs[other].server_broke_off);
 }
 
+// With unsound servers a zone's servers come back cold as its proxies do; nothing else changes.
+TEST(SoakSchedule, AddsColdZonesToTheEndsOfTheirProxies) {
+  Options options;
+  options.seed = 3;
+  std::vector<Event> plain = MakeSchedule(options);
+  options.unsound = true;
+  std::vector<Event> unsound = MakeSchedule(options);
+  auto count = [](const std::vector<Event>& events, Event::Kind kind) {
+    return std::count_if(events.begin(), events.end(),
+                         [kind](const Event& event) { return event.kind == kind; });
+  };
+  EXPECT_GT(count(unsound, Event::Kind::kColdZone), count(plain, Event::Kind::kColdZone));
+  EXPECT_EQ(unsound.size() - plain.size(),
+            static_cast<size_t>(count(unsound, Event::Kind::kColdZone) -
+                                count(plain, Event::Kind::kColdZone)));
+}
+
 TEST(SoakSchedule, IsFixedByItsSeedAndStaysWithinTheRun) {
   Options options;
   for (options.seed = 1; options.seed <= 20; ++options.seed) {
--- a/tools/soak/schedule.cc
+++ b/tools/soak/schedule.cc
@@ -17,6 +17,26 @@
 constexpr base::Millis kMaxCutMs = 8000;
 constexpr base::Millis kAfterCutMs = 12000;  // calm, so that the rules bind again
 constexpr base::Millis kZoneAfterColdMs = 200;
+// After the SIGTERM of a zone's proxies, which end 2.5 to 6 s later and start again.
+constexpr base::Millis kMinColdStartMs = 2500;
+constexpr base::Millis kMaxColdStartMs = 6500;
+constexpr uint64_t kColdStartSeed = 7919;  // apart from the draws of the other events
+
+// The servers of a zone whose proxies have just ended come back cold, at about the time at which
+// the proxies do.
+void AddColdStarts(uint64_t seed, base::Millis end, std::vector<Event>* events) {
+  base::Random random(seed + kColdStartSeed);
+  std::vector<Event> cold;
+  for (const Event& event : *events) {
+    if (event.kind != Event::Kind::kTerminateZone) continue;
+    Event again = event;
+    again.kind = Event::Kind::kColdZone;
+    again.at += kMinColdStartMs +
+                static_cast<base::Millis>(random.Below(kMaxColdStartMs - kMinColdStartMs));
+    if (again.at < end) cold.push_back(again);
+  }
+  events->insert(events->end(), cold.begin(), cold.end());
+}
 
 std::string Pick(base::Random* random, const char* prefix, int count) {
   return prefix + std::to_string(random->Below(static_cast<uint64_t>(count)));
@@ -95,6 +115,7 @@
     bool series = random.Below(3) == 0;
     at += static_cast<base::Millis>(random.Below(series ? kSeriesGapMs : kMaxGapMs));
   }
+  if (options.unsound) AddColdStarts(options.seed, end, &events);
   std::stable_sort(events.begin(), events.end(),
                    [](const Event& a, const Event& b) { return a.at < b.at; });
   return events;
