--- a/tools/soak/fleet.cc
+++ b/tools/soak/fleet.cc
@@ -23,8 +23,13 @@
 
 }  // namespace
 
-Fleet::Fleet(const Options& options, const Addresses& addresses, std::string folder, Record* record)
-    : options_(options), addresses_(addresses), folder_(std::move(folder)), record_(record) {
+Fleet::Fleet(const Options& options, const Addresses& addresses, std::string folder,
+             std::string logs, Record* record)
+    : options_(options),
+      addresses_(addresses),
+      folder_(std::move(folder)),
+      logs_(std::move(logs)),
+      record_(record) {
   for (int i = 0; i < options.controllers; ++i) {
     std::string name = "c" + std::to_string(i);
     processes_[name].name = name;
@@ -96,7 +101,7 @@
   process->start_at = process->kill_at = process->thaw_at = -1;
   std::string program = options_.programs + (process->name[0] == 'c' ? "/controller" : "/proxy");
   std::string settings = folder_ + "/" + process->name + ".conf";
-  std::string log = folder_ + "/" + process->name + ".log";
+  std::string log = logs_ + "/" + process->name + ".log";
   process->pid = fork();
   if (process->pid == 0) {
     // Ctrl-C ends the soak, which ends them in order; without it they don't go on.
--- a/tools/soak/fleet.h
+++ b/tools/soak/fleet.h
@@ -18,7 +18,9 @@
 // when the grace time is over, SIGKILL, and starts again what has ended. On one thread.
 class Fleet {
  public:
-  Fleet(const Options& options, const Addresses& addresses, std::string folder, Record* record);
+  // `folder`: for settings and data; `logs`: for what the processes print.
+  Fleet(const Options& options, const Addresses& addresses, std::string folder, std::string logs,
+        Record* record);
   ~Fleet();
 
   void StartAll();
@@ -60,6 +62,7 @@
   const Options& options_;
   const Addresses& addresses_;
   std::string folder_;
+  std::string logs_;
   Record* record_;
   std::map<std::string, Process> processes_;
   bool stopping_ = false;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -27,7 +27,8 @@
 constexpr base::Millis kCalmMs = 4500;    // before the traffic is judged
 constexpr base::Millis kPollMs = 10;
 constexpr base::Millis kProgressMs = 1000;
-constexpr int kRuns = 200;  // so many soaks may run beside each other
+constexpr int kRuns = 200;                   // so many soaks may run beside each other
+constexpr const char* kLockFolder = "/tmp";  // the same for all of them, whatever TMPDIR says
 
 // SIGINT or SIGTERM came: what was started is ended, and what was seen is reported.
 volatile std::sig_atomic_t interrupted = 0;
@@ -116,8 +117,8 @@
 // ends. -1 if all are taken.
 int ReserveRun() {
   for (int run = 1; run <= kRuns; ++run) {
-    std::string path = (std::filesystem::temp_directory_path() / "elderkeel-soak-run-").string() +
-                       std::to_string(run) + ".lock";
+    std::string path =
+        std::string(kLockFolder) + "/elderkeel-soak-run-" + std::to_string(run) + ".lock";
     int fd = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
     if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0) return run;
     if (fd >= 0) close(fd);
@@ -127,13 +128,13 @@
 
 // Plays the run into the record. False if it could not begin.
 bool RunFleet(const Options& options, const std::vector<Event>& schedule, const std::string& folder,
-              Record* record) {
+              const std::string& logs, Record* record) {
   int run = ReserveRun();
   if (run < 0) return false;
   Addresses addresses(run);
   World world(options, addresses, record);
   world.Start();
-  Fleet fleet(options, addresses, folder, record);
+  Fleet fleet(options, addresses, folder, logs, record);
   fleet.Watch(world.thread_id());
   StallWatch stalls;
   fleet.StartAll();
@@ -166,6 +167,8 @@
     std::string path = options.programs + program;
     if (access(path.c_str(), X_OK) != 0) return path + " can't be executed";
   }
+  if (!options.logs.empty() && access(options.logs.c_str(), W_OK) != 0)
+    return options.logs + " can't be written";
   if (options.report.empty()) return "";
   std::ofstream report(options.report, std::ios::app);
   return report ? "" : options.report + " can't be written";
@@ -177,14 +180,17 @@
     return kCouldNotRun;
   }
   for (int signal : {SIGINT, SIGTERM}) std::signal(signal, [](int) { interrupted = 1; });
-  std::filesystem::path folder = std::filesystem::temp_directory_path() /
-                                 ("elderkeel-soak-" + std::to_string(base::RandomSeed()));
+  std::string name = "elderkeel-soak-" + std::to_string(base::RandomSeed());
+  std::filesystem::path folder = std::filesystem::temp_directory_path() / name;
+  std::filesystem::path logs_parent = options.logs;
+  if (options.logs.empty()) logs_parent = std::filesystem::temp_directory_path();
+  std::filesystem::path logs = logs_parent / (name + "-logs");
   std::filesystem::create_directories(folder);
+  std::filesystem::create_directories(logs);
   Record record;
   std::vector<Event> schedule = MakeSchedule(options);
-  if (!RunFleet(options, schedule, folder.string(), &record)) {
-    spdlog::error("step=start reason=\"the fleet did not become ready\" folder={}",
-                  folder.string());
+  if (!RunFleet(options, schedule, folder.string(), logs.string(), &record)) {
+    spdlog::error("step=start reason=\"the fleet did not become ready\" logs={}", logs.string());
     return kCouldNotRun;
   }
   const RecordData& data = record.data();
@@ -192,12 +198,13 @@
   double judged = JudgedShare(data, static_cast<size_t>(options.controllers + options.proxies));
   PrintTable(data, judged, violations);
   if (!options.report.empty()) WriteReport(options, command, schedule, data, violations);
+  std::filesystem::remove_all(folder);
   if (violations.empty()) {
-    std::filesystem::remove_all(folder);
+    std::filesystem::remove_all(logs);
     return judged < kMinJudgedShare || interrupted ? kProvesNothing : kHeld;
   }
   std::printf("seed %llu; logs of the processes: %s\n",
-              static_cast<unsigned long long>(options.seed), folder.c_str());
+              static_cast<unsigned long long>(options.seed), logs.c_str());
   return kBroken;
 }
 
@@ -224,6 +231,8 @@
       "Servers refuse, fail, cut, hang and garble in spells; their addresses are used again");
   app.add_option("--programs", options.programs, "Folder of proxy and controller")
       ->capture_default_str();
+  app.add_option("--logs", options.logs,
+                 "Folder for what the processes print; on a busy disk it holds them up");
   app.add_option("--report", options.report, "File for a report in JSON");
   app.footer(
       "Exit codes: 0 all rules held; 1 a rule was broken; 2 the soak could not run; 3 none was "
--- a/tools/soak/schedule.h
+++ b/tools/soak/schedule.h
@@ -17,6 +17,7 @@
   bool varied = false;              // clients: some leave early, some use connections that rested
   bool unsound = false;             // servers, in spells; addresses are used again
   std::string programs = "target";  // the folder of the programs
+  std::string logs = "";            // folder for what the processes print; empty: as for their data
   std::string report = "";          // a file; empty for none
 };
 
