--- a/tests/dissemination/served_history_test.cc
+++ b/tests/dissemination/served_history_test.cc
@@ -193,28 +193,38 @@
   std::map<size_t, std::tuple<uint64_t, int64_t, uint64_t>> seen_;  // life, revision, digest
 };
 
-TEST(ServedHistory, HoldsOverDaysWithFaults) {
-  struct Case {
-    const char* name;
-    int routes;
-    Millis between_changes;
-    uint64_t days;
-  } cases[] = {
-      {"small", 3, 350, 6},
-      {"larger than what is sent unasked", 120, 350, 3},
-      {"a change each 50 ms", 20, 50, 4},
-      {"whole documents", 0, 200, 4},
-  };
-  for (const Case& c : cases) {
-    int64_t changes = 0;
-    for (uint64_t seed = 1; seed <= c.days; ++seed) {
-      Day day(seed, c.routes, c.between_changes);
-      EXPECT_EQ(day.Play(), "") << c.name << ", seed " << seed;
-      changes += day.acknowledged();
-    }
-    EXPECT_GT(changes, 100) << c.name;
+struct DaysCase {
+  const char* name;
+  int routes;
+  Millis between_changes;
+  uint64_t first_seed;
+  uint64_t last_seed;
+};
+
+// One test a case: together they take longer than one test may.
+class ServedHistoryDays : public ::testing::TestWithParam<DaysCase> {};
+
+TEST_P(ServedHistoryDays, HoldOverFaults) {
+  const DaysCase& param = GetParam();
+  int64_t changes = 0;
+  for (uint64_t seed = param.first_seed; seed <= param.last_seed; ++seed) {
+    Day day(seed, param.routes, param.between_changes);
+    EXPECT_EQ(day.Play(), "") << "seed " << seed;
+    changes += day.acknowledged();
   }
+  EXPECT_GT(changes, 100);
 }
 
+INSTANTIATE_TEST_SUITE_P(Cases, ServedHistoryDays,
+                         ::testing::Values(DaysCase{"small", 3, 350, 1, 6},
+                                           DaysCase{"larger_than_what_is_sent_unasked", 120, 350, 1,
+                                                    3},
+                                           DaysCase{"a_change_each_50_ms_1", 20, 50, 1, 1},
+                                           DaysCase{"a_change_each_50_ms_2", 20, 50, 2, 2},
+                                           DaysCase{"a_change_each_50_ms_3", 20, 50, 3, 3},
+                                           DaysCase{"a_change_each_50_ms_4", 20, 50, 4, 4},
+                                           DaysCase{"whole_documents", 0, 200, 1, 4}),
+                         [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace elderkeel::simulation
