Dissemination: one question for what a list's numbers say, one look for the first step

Disseminator: the conditions under which numbers alone make an update newer stood twice, in the verdict and where its age is bounded; IsSuccessor is both. The first remembered step was looked for twice a send. Comments: Publish also refuses what was asked for earlier; a comment of SlowStartOwner was torn by the formatter.

--- a/src/cluster/cluster_node.h
+++ b/src/cluster/cluster_node.h
@@ -62,7 +62,7 @@
   void Commit(const zone_drain::DrainedZones& drained_zones);
   void Commit(const rollout::Rollouts& rollouts);
   void OnRolloutVersion(const base::Address& from, uint64_t version);
-  // False if endpoints of a later reader are here already.
+  // False if endpoints of a later reader are here, or such as were asked for later.
   bool Publish(base::Millis asked_at, discovery::EndpointSnapshot endpoints);
   // The reader of `epoch` found the endpoints unchanged.
   void ConfirmEndpoints(base::Millis asked_at, uint64_t epoch);
--- a/src/dissemination/disseminator.h
+++ b/src/dissemination/disseminator.h
@@ -107,8 +107,8 @@
   void Commit(const zone_drain::DrainedZones& drained_zones);
   void Commit(const rollout::Rollouts& rollouts);
   // From this node's own reading of the platform, as the catalog reader. Epoch 0 is a reading that
-  // no reader vouches for; it stays in the zone. False if an update of a later reader is here
-  // already: this one was replaced and does not know it yet.
+  // no reader vouches for; it stays in the zone. False if the list of a later reader is here, since
+  // this one was replaced and does not know it yet, or one that was asked for after this reading.
   bool Publish(base::Millis now, base::Millis asked_at, discovery::EndpointSnapshot endpoints);
   // The reader of `epoch` read the list and found it unchanged.
   void Confirm(base::Millis now, base::Millis asked_at, uint64_t epoch);
@@ -201,6 +201,9 @@
   bool SucceedsOwnList(const EndpointUpdate& update) const;
   // The earliest moment at which the platform can have been asked for the update's list.
   base::Millis EarliestReading(base::Millis now, const EndpointUpdate& update) const;
+  // Whether it was read after the list that is here by its numbers alone, without a look at
+  // moments.
+  bool IsSuccessor(const EndpointUpdate& update) const;
   bool IsNewerUpdate(base::Millis now, const EndpointUpdate& update) const;
   // The list that the update leads to, on this process's clock.
   std::vector<discovery::Server> Merge(base::Millis now, const EndpointUpdate& update) const;
@@ -213,8 +216,8 @@
   // False where it is too large to be sent unasked. What was just sent there is not sent again.
   bool SendConfiguration(base::Millis now, const base::Address& to, int64_t peer_has, bool asked);
   bool SendEndpoints(base::Millis now, const base::Address& to, const EndpointsWanted& wanted);
-  // Fills in all servers or, if the steps from what the peer has are remembered, those that differ.
-  void FillServers(base::Millis now, const EndpointsWanted& wanted, EndpointUpdate* update) const;
+  // Fills in the servers that differ since before the step `first`; all if there is no such step.
+  void FillServers(base::Millis now, size_t first, EndpointUpdate* update) const;
   // The first remembered step from what the peer has; the end if there is none.
   size_t FirstStepFrom(const EndpointsWanted& wanted) const;
   bool RecentlySent(base::Millis now, const base::Address& to, uint64_t what);
--- a/src/dissemination/disseminator_endpoints.cc
+++ b/src/dissemination/disseminator_endpoints.cc
@@ -19,15 +19,13 @@
   return history_.size();
 }
 
-void Disseminator::FillServers(base::Millis now, const EndpointsWanted& wanted,
-                               EndpointUpdate* update) const {
-  size_t first = FirstStepFrom(wanted);
+void Disseminator::FillServers(base::Millis now, size_t first, EndpointUpdate* update) const {
   if (first == history_.size()) {
     update->servers = endpoints_.servers;
   } else {
     update->complete = false;
-    update->base_epoch = wanted.has.epoch;
-    update->base_sequence = wanted.has.sequence;
+    update->base_epoch = history_[first].epoch;
+    update->base_sequence = history_[first].sequence;
     std::set<std::string> touched;
     for (size_t i = first; i < history_.size(); ++i) {
       touched.insert(history_[i].touched.begin(), history_[i].touched.end());
@@ -51,7 +49,8 @@
 
 bool Disseminator::SendEndpoints(base::Millis now, const base::Address& to,
                                  const EndpointsWanted& wanted) {
-  bool whole = FirstStepFrom(wanted) == history_.size();
+  size_t first = FirstStepFrom(wanted);
+  bool whole = first == history_.size();
   // Before the whole list is copied.
   if (whole && !wanted.asked_for_it && endpoints_.servers.size() > kSmallServers) return false;
   EndpointUpdate update;
@@ -61,7 +60,7 @@
   update.age_ms = static_cast<int32_t>(std::min<base::Millis>(endpoints_read_age(now), INT32_MAX));
   update.asked_at = wanted.asked_at == 0 ? EndpointUpdate::kUnasked : wanted.asked_at;
   update.succeeds = succeeds_;
-  FillServers(now, wanted, &update);
+  FillServers(now, first, &update);
   if (update.servers.size() + update.gone.size() > kSmallServers) {
     if (!wanted.asked_for_it) return false;
     if (RecentlySent(now, to, endpoints_.epoch << 32 | endpoints_.sequence << 1 | 1)) return true;
@@ -160,12 +159,19 @@
   return started_at_ - age;
 }
 
+bool Disseminator::IsSuccessor(const EndpointUpdate& update) const {
+  EndpointVersion version{update.epoch, update.sequence};
+  bool later = has_endpoints_ && !HasOwnReading() && OwnEndpointVersion().Lacks(version);
+  return later &&
+         (version.epoch == endpoints_.epoch || BuildsOnOwnList(update) || SucceedsOwnList(update));
+}
+
 bool Disseminator::IsNewerUpdate(base::Millis now, const EndpointUpdate& update) const {
+  if (IsSuccessor(update)) return true;
   EndpointVersion version{update.epoch, update.sequence};
-  if (BuildsOnOwnList(update)) return OwnEndpointVersion().Lacks(version);
   // A program that does not say what it answers orders readers by their epochs alone.
   if (update.asked_at == 0 && !HasOwnReading() && OwnEndpointVersion().Lacks(version)) return true;
-  return SucceedsOwnList(update) || IsNewerList(version, EarliestReading(now, update));
+  return IsNewerList(version, EarliestReading(now, update));
 }
 
 std::vector<discovery::Server> Disseminator::Merge(base::Millis now,
@@ -205,9 +211,7 @@
     return;
   }
   base::Millis read_at = EarliestReading(now, update);
-  bool same_reader = has_endpoints_ && !HasOwnReading() && version.epoch == endpoints_.epoch;
-  bool known_later = same_reader || BuildsOnOwnList(update) || SucceedsOwnList(update);
-  if (known_later) read_at = std::max(read_at, read_at_);
+  if (IsSuccessor(update)) read_at = std::max(read_at, read_at_);
   succeeds_ = update.succeeds;
   Replace({update.epoch, update.sequence, Merge(now, update)}, update.exact);
   read_at_ = read_at;
--- a/src/forwarding/slow_start_owner.h
+++ b/src/forwarding/slow_start_owner.h
@@ -24,9 +24,8 @@
 //
 // Proxies hear of each other's starts and ends at different moments. Whoever can't be sure to be
 // the only owner owns nothing:
-// - A proxy that ends serves on for a while. It keeps what it owns until then and gains nothing,
-// and
-//   the others hand over nothing of it for as long, from when they hear of its end.
+// - A proxy that ends serves on for a while. It keeps what it owns until then and gains nothing;
+//   the others take over nothing of it for as long, from when they hear of its end.
 // - A proxy that has only just started may not know the others yet, nor they it.
 //
 // Invariant: no server has two owners at one moment, if a proxy that starts and those that are
