Soak: the crashed server's own address is used again; GONE counts only what would have lasted

Read once more: ReuseAddress took the oldest free address of the other service, which need not be the one that its comment and docs/soak.md speak of; and CheckGone counted runs that the server broke off among those that would have lasted, which let a quarter of more pass. Which servers of a zone serve was looked for in three places.

Change: the address is kept for the server that takes the crashed one's place; CheckGone leaves such runs out on both sides (stricter); World::Serving is the one place.

Measured: CheckGone's test has the case.

--- a/tests/soak/checkers_test.cc
+++ b/tests/soak/checkers_test.cc
@@ -293,6 +293,10 @@
   EXPECT_TRUE(CheckGone(record_, bounds_).empty());
   record_.runs[1].dropped_at = -1;
   EXPECT_EQ(CheckGone(record_, bounds_).size(), 1u);
+  record_.runs[1].dropped_at = kTerm + 600;
+  for (size_t i = 1; i < 4; ++i) record_.runs[i].server_broke_off = true;  // one is left
+  EXPECT_EQ(CheckGone(record_, bounds_).size(), 1u);
+  for (size_t i = 1; i < 4; ++i) record_.runs[i].server_broke_off = false;
   record_.runs[1].work_ends_at = kTerm + 600;  // would not have lasted so long
   record_.runs[0].dropped_at = kTerm + 600;
   for (int i = 0; i < 4; ++i) {
--- a/tools/soak/checkers.cc
+++ b/tools/soak/checkers.cc
@@ -158,10 +158,11 @@
     auto [first, last] = runs.equal_range(request.attempt_id);
     for (auto run = first; run != last; ++run) {
       late += run->second->began_at > noticed;
-      if (request.effectful || run->second->work_ends_at <= noticed) continue;
+      bool lasts = run->second->work_ends_at > noticed && !run->second->server_broke_off;
+      if (request.effectful || !lasts) continue;
       ++long_ones;
       bool dropped = run->second->dropped_at >= 0 && run->second->dropped_at <= noticed;
-      still_at_work += !dropped && !run->second->server_broke_off;
+      still_at_work += !dropped;
       at = request.left_at;
     }
   }
--- a/tools/soak/world.cc
+++ b/tools/soak/world.cc
@@ -154,12 +154,17 @@
 }
 
 void World::AddServer(const std::string& service, const std::string& zone, base::Millis cold_ms) {
+  AddServer(service, zone, TakeAddress(service), cold_ms);
+}
+
+void World::AddServer(const std::string& service, const std::string& zone,
+                      const base::Address& address, base::Millis cold_ms) {
   int number = next_server_++;
   auto server = std::make_shared<Server>();
   server->id = "i-" + std::to_string(number);
   server->service = service;
   server->zone = zone;
-  server->address = TakeAddress(service);
+  server->address = address;
   std::weak_ptr<Server> weak = server;
   server->http = std::make_unique<http::HttpServer>(
       loop_, ServerOptions(),
@@ -299,13 +304,10 @@
 
 void World::DrainOne(const std::string& zone) {
   Post([this, zone] {
-    auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& id_and_server) {
-      const Server& server = *id_and_server.second;
-      return server.zone == zone && !server.draining && server.listening;
-    });
-    if (found == servers_.end()) return;
-    std::string id = found->first, service = found->second->service;
-    found->second->draining = true;
+    std::vector<std::shared_ptr<Server>> serving = Serving(zone);
+    if (serving.empty()) return;
+    std::string id = serving[0]->id, service = serving[0]->service;
+    serving[0]->draining = true;
     record_->Add(Disturbance{Disturbance::Kind::kServerDrains, id, base::SteadyMillis(), ""});
     After(kServesOnMs, [this, id] { RemoveServer(id); });
     AddServer(service, zone, kColdMs);
@@ -314,29 +316,31 @@
 
 void World::ReuseAddress(const std::string& zone) {
   Post([this, zone] {
-    auto found = std::find_if(servers_.begin(), servers_.end(), [&](const auto& id_and_server) {
-      const Server& server = *id_and_server.second;
-      return server.zone == zone && !server.draining && server.listening;
+    std::vector<std::shared_ptr<Server>> serving = Serving(zone);
+    if (serving.empty()) return;
+    std::string other_service = serving[0]->service == "reading" ? "writing" : "reading";
+    std::string other_zone = zone == "z0" ? "z1" : "z0";
+    RemoveServer(serving[0]->id);
+    free_addresses_.pop_back();  // taken, once it may be used again
+    After(kReuseMs, [this, other_service, other_zone, address = serving[0]->address] {
+      AddServer(other_service, other_zone, address, 0);
     });
-    if (found == servers_.end()) return;
-    const Server& crashed = *found->second;
-    std::string other = crashed.service == "reading" ? "writing" : "reading";
-    RemoveServer(found->first);
-    After(kReuseMs, [this, zone, other] { AddServer(other, zone == "z0" ? "z1" : "z0", 0); });
   });
 }
 
+std::vector<std::shared_ptr<World::Server>> World::Serving(const std::string& zone) const {
+  std::vector<std::shared_ptr<Server>> serving;
+  for (const auto& [id, server] : servers_) {
+    if (server->zone == zone && !server->draining && server->listening) serving.push_back(server);
+  }
+  return serving;
+}
+
 void World::ReplaceZoneCold(const std::string& zone) {
   Post([this, zone] {
-    std::vector<std::pair<std::string, std::string>> replaced;  // id, service
-    for (const auto& [id, server] : servers_) {
-      if (server->zone == zone && !server->draining && server->listening) {
-        replaced.emplace_back(id, server->service);
-      }
-    }
-    for (const auto& [id, service] : replaced) {
-      RemoveServer(id);
-      AddServer(service, zone, kColdMs);
+    for (const std::shared_ptr<Server>& server : Serving(zone)) {
+      RemoveServer(server->id);
+      AddServer(server->service, zone, kColdMs);
     }
   });
 }
--- a/tools/soak/world.h
+++ b/tools/soak/world.h
@@ -60,7 +60,12 @@
   struct Server;
   void Run();
   void Post(std::function<void()> work);
+  // At an address as TakeAddress() chooses it; at that one.
   void AddServer(const std::string& service, const std::string& zone, base::Millis cold_ms);
+  void AddServer(const std::string& service, const std::string& zone, const base::Address& address,
+                 base::Millis cold_ms);
+  // The servers of the zone that neither drain nor have ended.
+  std::vector<std::shared_ptr<Server>> Serving(const std::string& zone) const;
   void RemoveServer(const std::string& id);
   std::unique_ptr<http::HttpServer> MakePlatform(bool of_proxies);
   http::Message ListPage(const http::Message& request) const;
